Draw candidates by present power, and read the sizes and in-flight reports

Cause: `_paced` let a call to a cold server through with the chance of its share of the ready servers' number, though most of them were cold too, and only where it ranked best at that moment. `_hear` read `queue` and `util`, which this deployment doesn't send, and not the count in flight, which it does; the listed sizes were dropped in reading.

Now three servers are drawn by what they can do at present (size, and for a cold one the least share that it has), the best ranked is picked, and a cold one is let through up to a multiple of its share of the pool's present power; the pool counts with at least 0.6 of its warm power, so that an all-cold one is still spared. Others' reported calls count in the queue.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -53,11 +53,13 @@
 ZONE_WEIGHT = 64.0  # calls in the queue that a crossing of zones counts as, per unit of its price
 WATCH_MS = 250.0  # half the first wait before discovery is asked again; doubled at each failure
 WATCH_MAX_MS = 4000.0  # the longest such wait
-COLD_SHARE = 0.4  # of the overload factor: what a cold server may get of its present capacity
+SAMPLE = 3  # servers drawn for a call, by what they can do, of which the best ranked is picked
+COLD_SHARE = 0.7  # of the overload factor: what a cold server may get of its share of the calls
+COLD_POOL = 0.6  # of what the ready servers can do warm: what the pool is taken to do at the least
 AIM_MARGIN = 0.98  # attempts worth nothing late are given up at this share of the aim
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Peer:
     """What this balancer knows of one server."""
 
@@ -69,7 +71,7 @@
     given_up: deque[tuple[float, float]] = field(
         default_factory=deque
     )  # when each is held to end, its weight
-    queue: float = 0.0  # reported waiting requests
+    queue: float = 0.0  # reported: what waits there, or else what others have in flight there
     told_ms: float = -math.inf
     util: float | None = None
     out: dict[tuple[str, int], float] = field(default_factory=dict)  # attempts out, oldest first
@@ -138,6 +140,7 @@
         self.periods = 0
         self.ratios: list[float] = []  # this period's latencies over their aims
         self.first: list[float] = []  # the first latencies over their aims, up to BASE_LEAST or a few more
+        self.queue = 0.0  # what a server that has not reported lately is held to have waiting, by its power
         self.base: float | None = None  # quiet latency as a share of the aim
         self.level = 0.0  # smoothed latency as a share of the aim
         self.completed = self.ended = self.full = 0.0
@@ -250,14 +253,21 @@
             return None
         bound = _group(job.kind, ran[0].peer) if ran and effect is api.Effect.KEYED else None
         tried = [item.peer for item in job.tries]
-        best, best_rank = None, math.inf
-        for peer in self.ready:
-            if peer in tried or (bound is not None and bound != _group(job.kind, peer)):
-                continue
-            rank = self._rank(now, peer)
-            if rank < best_rank and self._paced(now, peer, len(self.ready)):
-                best, best_rank = peer, rank
-        return best
+        fit = [
+            peer
+            for peer in self.ready
+            if peer not in tried and (bound is None or bound == _group(job.kind, peer))
+        ]
+        if not fit:
+            return None
+        powers = [self._power(now, peer) for peer in fit]
+        drawn = fit
+        if len(fit) > SAMPLE:
+            # Guard: ranked over a large tier by the same late reports, all balancers fell on the same server.
+            drawn = list(dict.fromkeys(self.rng.choices(fit, powers, k=SAMPLE)))
+        use = [peer for peer in drawn if self._paced(now, peer, sum(powers) if len(fit) > SAMPLE else 0.0)]
+        use = use or [peer for peer in fit if self._warm(now, peer)]
+        return min(use, key=lambda peer: self._rank(now, peer), default=None)
 
     def _rank(self, now: float, peer: _Peer) -> float:
         """Smoothed latency x (queue + 1); a silent server drifts to the mean of the others, which is 1."""
@@ -270,20 +280,36 @@
             mean = self.class_ms.get(self.jobs[name].kind.name) if peer.heard_ms <= sent_ms else None
             slow = max(slow, (now - sent_ms) / mean) if mean else slow
         failing = 1.0 - min(0.9, peer.errs)
-        queue = peer.queue * math.exp((peer.told_ms - now) / STALE_MS) if peer.queue else 0.0
+        queue = self.queue * self._power(now, peer)
+        queue += (peer.queue - queue) * math.exp((peer.told_ms - now) / STALE_MS)
         far = ZONE_WEIGHT * self.cfg.cross_zone_price if peer.info.zone != self.cfg.zone else 0.0
         return slow * (peer.load + queue + 1.0 + far) / failing * (1.0 + JITTER * (self.rng.random() - 0.5))
 
-    def _paced(self, now: float, peer: _Peer, ready: int) -> bool:
-        """Guard: all balancers together must not push a cold server over. A call may go to it with the chance
-        of its present share (from `cold_from`, even over `cold_ms`) of an average server's calls: a draw for
-        each call, not a count, so that the sum keeps to the share however many balancers there are."""
-        launched = peer.info.launched_ms
-        age = math.inf if launched is None else max(0.0, now - launched)
-        if age >= self.cfg.cold_ms:
+    def _paced(self, now: float, peer: _Peer, drawn_from: float) -> bool:
+        """Guard: all balancers together must not push a cold server over. The draws from this much power give
+        it `SAMPLE` times its share; it is then used with a chance that leaves it a multiple of its share: a
+        draw for each call, not a count, so that the sum keeps to the share however many balancers there are.
+        The pool counts with at least a share of what it can do warm, or one that is all cold is flooded."""
+        if self._warm(now, peer):
             return True
-        warmth = self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age / self.cfg.cold_ms
-        return self.rng.random() * ready < COLD_SHARE * self.cfg.overload_factor * warmth
+        power = self._power(now, peer)
+        pool = sum([self._power(now, other) for other in self.ready])
+        pool = max(pool, COLD_POOL * sum([self._size(other) for other in self.ready]))
+        seen = min(1.0, SAMPLE * power / drawn_from) if drawn_from else 1.0
+        return self.rng.random() * seen * pool < COLD_SHARE * self.cfg.overload_factor * power
+
+    def _warm(self, now: float, peer: _Peer) -> bool:
+        return peer.info.launched_ms is None or now - peer.info.launched_ms >= self.cfg.cold_ms
+
+    def _power(self, now: float, peer: _Peer) -> float:
+        """What a server can do at present: its size, or for a cold one the share that it has at the least."""
+        if self._warm(now, peer):
+            return self._size(peer)
+        age = max(0.0, now - (peer.info.launched_ms or 0.0))
+        return self._size(peer) * (self.cfg.cold_from + (1.0 - self.cfg.cold_from) * age / self.cfg.cold_ms)
+
+    def _size(self, peer: _Peer) -> float:
+        return peer.info.size if self.cfg.sized else 1.0
 
     # -------------------------------------------------------------- attempts
 
@@ -356,7 +382,8 @@
     def _hear(self, now: float, server: str, report: dict[str, float] | None) -> None:
         peer = self.peers.get(server)
         if peer is not None and report:
-            peer.queue, peer.told_ms = report.get("queue", 0.0), now
+            inflight = report.get("inflight", 0.0)  # ours among them
+            peer.queue, peer.told_ms = report.get("queue", max(0.0, inflight - peer.load)), now
             peer.util = report.get("util", peer.util)
 
     def _judge(self, now: float, job: _Job, item: _Try, event: api.Outcome) -> None:
@@ -396,6 +423,8 @@
                 peer.load = max(0.0, peer.load - peer.given_up.popleft()[1])
         load = 0.0
         fresh = [peer for peer in ready if peer.told_ms >= now - FRESH_MS]  # Guard: old reports mislead
+        power = sum([self._power(now, peer) for peer in fresh])
+        self.queue = sum([peer.queue for peer in fresh]) / power if power else 0.0
         utils = _middle([peer.util for peer in fresh if peer.util is not None])
         if self.ratios:  # the median resists one sick server
             middle = _middle(self.ratios) or 0.0
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -97,6 +97,7 @@
     max_retry_after_ms: float = 0.0
     max_attempts: int = 1
     cross_zone_price: float = 0.0
+    sized: bool = False  # a server's size in the list stands for what it can do
     cold_from: float = 1.0
     cold_ms: float = 0.0
     overload_factor: float = 2.0  # a cold server sent more than this many times its capacity falls over
@@ -115,7 +116,7 @@
             _within(key, getattr(self, key), 0)
         for key in ("siblings", "max_attempts"):
             _within(key, getattr(self, key), 1)
-        for key in ("ask_discovery", "worth_by_work", "may_cancel", "retry_after"):
+        for key in ("ask_discovery", "worth_by_work", "may_cancel", "retry_after", "sized"):
             if not isinstance(getattr(self, key), bool):
                 raise ValueError(f"{key}: {getattr(self, key)!r} is not true or false")
         if not isinstance(self.zone, str):
@@ -151,6 +152,7 @@
     cell: int = 0
     state: ServerState = ServerState.UP
     launched_ms: float | None = None  # None: long ago
+    size: float = 1.0  # to set against other servers' sizes; what it means the settings tell
 
 
 @dataclass(slots=True)
--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -12,6 +12,7 @@
 from orchidledge.interface import ListForm, Server, ServerState
 from orchidledge.net.http import ClientConnection, Response
 from orchidledge.net.upstream import Address
+from orchidledge.settings import size_from
 
 # A call unanswered so long after its wait has failed; 2 s after it, its news counts as told.
 LATE_S = 1.2
@@ -71,6 +72,7 @@
         cell=int(target.get("pod_group") or 0),
         state=state,
         launched_ms=float(boot) if boot > 0 else None,  # 0: long ago
+        size=size_from(target.get("capacity_hint")),
     )
 
 
--- a/orchidledge/settings.py
+++ b/orchidledge/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from typing import Any
 
@@ -18,6 +19,7 @@
     "tps": "qps",
     "err_ps": "eps",
 }
+SIZED = ("nominal", "rough")  # what the list's sizes may be; a live one mixes in a load of some time ago
 FIGURE = re.compile(r"[0-9]{1,6}(\.[0-9]{1,9})?")
 
 
@@ -40,6 +42,7 @@
         "max_retry_after_ms": bounds.get("maxRetryAfterMs"),
         "max_attempts": bounds.get("maxAttempts"),
         "cross_zone_price": prices.get("crossZone"),
+        "sized": config.get("weights") in SIZED,
         "cold_from": rules.get("coldFrom"),
         "cold_ms": rules.get("coldMs"),
         "overload_factor": rules.get("overloadFactor"),
@@ -55,6 +58,12 @@
     )
 
 
+def size_from(value: object) -> float:
+    """A listed server's size; one that is no number above 0 says nothing."""
+    good = isinstance(value, int | float) and not isinstance(value, bool) and 0.0 < value < math.inf
+    return float(value) if good else 1.0  # type: ignore[arg-type]
+
+
 def _service_class(row: Row) -> ServiceClass:
     for key in ("name", "aimMs", "giveUpMs"):
         if row.get(key) is None:
--- a/orchidledge/simhost.py
+++ b/orchidledge/simhost.py
@@ -35,7 +35,7 @@
     Wake,
     Watch,
 )
-from orchidledge.settings import Row, settings_from
+from orchidledge.settings import Row, settings_from, size_from
 
 RESULTS = {
     0: Result.OK,
@@ -121,6 +121,7 @@
         cell=row.get("bay") or 0,
         state=ServerState(row["stageState"]),
         launched_ms=row.get("launchedMs") or None,
+        size=size_from(row.get("powerHint")),
     )
 
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -5,7 +5,7 @@
 from itertools import pairwise
 
 import pytest
-from helpers import SAFE, Bed, kinds, sent
+from helpers import SAFE, Bed, kinds, sent, servers
 
 from orchidledge import interface as api
 
@@ -101,6 +101,36 @@
     assert took.count("s1") == 10
 
 
+def test_the_count_that_others_hold_ranks_where_servers_report_what_is_in_flight():
+    bed = Bed(count=2)
+    for server, inflight in (("s0", 9.0), ("s1", 0.0)):
+        bed.brain._hear(bed.now, server, {"inflight": inflight, "eps": 0.0})
+    assert [bed.serve(latency=1.0) for _ in range(5)] == ["s1"] * 5
+
+
+def test_on_a_large_tier_what_a_server_can_do_draws_calls_to_it():
+    rows = tuple(api.Server(f"s{at}", "a", size=4.0 if at == 0 else 1.0) for at in range(20))
+    counts = []
+    for sized in (True, False):
+        bed = Bed(count=0, sized=sized)
+        bed.give(api.Membership(api.ListForm.FULL, rows))
+        counts.append([bed.serve(latency=1.0) for _ in range(400)].count("s0"))
+    assert counts[0] > 2 * counts[1]
+
+
+def test_many_balancers_with_the_same_late_figures_do_not_all_pick_the_same_server():
+    """Guard: all siblings fell on the one server that the last reports showed empty."""
+    took = []
+    for seed in range(40):
+        bed = Bed(count=0, seed=seed, siblings=40)
+        bed.give(api.Membership(api.ListForm.FULL, servers(20)))
+        for at in range(20):
+            bed.brain._hear(bed.now, f"s{at}", {"inflight": 0.0 if at == 3 else 2.0})
+        took.append(sent(bed.ask()[1])[0].server)
+    assert took.count("s3") <= 20
+    assert len(set(took)) >= 10
+
+
 def judged(bed: Bed, server: str, latency: float):
     from orchidledge.brain import _Job, _Try
 
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -12,7 +12,7 @@
 import pytest
 
 from orchidledge.settings import settings_from
-from orchidledge.simhost import Host, WireError, run
+from orchidledge.simhost import Host, WireError, _server, run
 
 ROOT = Path(__file__).parent.parent
 
@@ -314,3 +314,14 @@
     lane = {name: value for name, value in CONFIG["categories"][0].items() if name != key}
     with pytest.raises(ValueError, match=f"categories.{key}: missing"):
         settings_from({"categories": [lane]})
+
+
+def test_what_the_list_and_the_reports_of_this_site_say_reaches_the_module():
+    """Guard: sizes and counts in flight were sent, and neither was read."""
+    given = {"fields": ["err_ps", "concurrent"], "via": "inline"}
+    for weights, sized in (("nominal", True), ("rough", True), ("live", False), ("off", False)):
+        assert settings_from(CONFIG | {"feedback": given, "weights": weights}).sized is sized
+    row = {"server": "s0", "stageState": "up", "powerHint": 2.5}
+    assert _server(row).size == 2.5
+    for odd in (None, 0, -1.0, "4", True):
+        assert _server(row | {"powerHint": odd}).size == 1.0
