Drive the cursor and T1 by the calls in flight that servers report

Each of the seven nodes heard about four answers a period, so a cursor step took over a second (`step = int(self.heard >= WEIGHTY)`), and T1 came from the peak of the last 15 s: about 20 calls a node where 8 were in use, so eight steps went by before any threshold bound. Choking needs 1.5 to 2.5 s.

`_on_period` now also holds the mean reported count against a target of 6, and that sign of load steps each period, since it tells of now and not of calls sent before. `threshold` keeps T1 to 7 calls for each ready server, over all siblings, so it falls with the list itself.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -38,6 +38,8 @@
 BASE_LEAST = 20  # outcomes from which the quiet baseline is first taken
 BASE_FALL = 0.1  # how fast the quiet baseline follows a lower period,
 BASE_RISE = 0.01  # and a higher one
+HELD_TARGET = 6.0  # target of the reported calls in flight at a server
+HELD_MOST = 7.0  # and T1 is no more than this for each ready server, over all siblings
 UTIL_TARGET = 0.97  # target of the median reported utilisation
 UTIL_ROOM = 0.03  # less this much where many balancers, each seeing little, load servers unevenly,
 FEW = 8.0  # that is, where there are more than this many
@@ -141,6 +143,7 @@
         self.ratios: list[float] = []  # this period's latencies over their aims
         self.first: list[float] = []  # the first latencies over their aims, up to BASE_LEAST or a few more
         self.queue = 0.0  # what a server that has not reported lately is held to have waiting, by its power
+        self.counted = False  # servers report what they have in flight
         self.base: float | None = None  # quiet latency as a share of the aim
         self.level = 0.0  # smoothed latency as a share of the aim
         self.completed = self.ended = self.full = 0.0
@@ -226,6 +229,8 @@
         # Guard: all siblings share the floor; one for each balancer summed to a T1 that never bound at size.
         floor = START if self.periods * self.period_ms < START_MS else FLOOR
         first = max(first, ready * floor / self.cfg.siblings)
+        if self.counted:
+            first = min(first, ready * HELD_MOST / self.cfg.siblings)
         first += ROOTS * math.sqrt(first)
         first *= 1.0 - ROW_GAP * below
         return max(LEAST, first * math.pow(self.shape[self.cursor], TOP_BEND + (1.0 - TOP_BEND) * below))
@@ -382,6 +387,7 @@
     def _hear(self, now: float, server: str, report: dict[str, float] | None) -> None:
         peer = self.peers.get(server)
         if peer is not None and report:
+            self.counted = self.counted or "inflight" in report
             inflight = report.get("inflight", 0.0)  # ours among them
             peer.queue, peer.told_ms = report.get("queue", max(0.0, inflight - peer.load)), now
             peer.util = report.get("util", peer.util)
@@ -452,6 +458,9 @@
             # Guard: at size the servers over the median were jammed one by one while it was under 0.97.
             room = UTIL_ROOM * (1.0 - min(1.0, FEW / self.cfg.siblings))
             load = max(load, utils / (UTIL_TARGET - room))
+        # Guard: counts in flight tell of now, answers of calls sent before; by those alone servers choked first.
+        held = sum([peer.queue + peer.load for peer in fresh]) / len(fresh) if fresh and self.counted else 0.0
+        load = max(load, held / HELD_TARGET)
         if self.ended:
             load = max(load, self.full / self.ended / FULL_TARGET)
         self.heard += self.ended
@@ -461,7 +470,7 @@
             # steps right before the first one showed, at all siblings alike, and servers stood half empty.
             # So a step is given as many outcomes as the smoothed latency remembers. It covers any late sign
             # of load, and hurts where load grows faster than answers come: a jam doesn't wait.
-            step = int(self.heard >= WEIGHTY)
+            step = int(self.heard >= WEIGHTY or held > HELD_TARGET)
         if step > 0:
             self.heard = 0.0
         self.cursor = max(0, min(len(self.shape) - 1, self.cursor + step))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -250,3 +250,33 @@
         return acts
 
     assert run() == run()
+
+
+def test_reported_calls_in_flight_over_their_target_move_the_cursor_each_period():
+    """Guard: a balancer that hears four answers a period took a second for each step, and servers choked."""
+    bed = Bed(count=4, siblings=7)
+    for _ in range(24):
+        bed.serve(latency=100.0, report={"inflight": 2.0})
+    bed.period()
+    assert bed.brain.cursor == 0
+    for step in range(1, 5):
+        for server in ("s0", "s1", "s2", "s3"):
+            bed.end("none", server, api.Result.OK, report={"inflight": 20.0})
+        bed.period()
+        assert bed.brain.cursor == step
+    for server in ("s0", "s1", "s2", "s3"):
+        bed.end("none", server, api.Result.OK, report={"inflight": 2.0})
+    bed.period()
+    assert bed.brain.cursor == 3
+
+
+def test_t1_falls_with_the_list_where_servers_report_what_is_in_flight():
+    """Guard: with most servers gone T1 stood at what all of them had borne, until answers came late."""
+    bed = Bed(count=12, siblings=7)
+    for _ in range(60):
+        for _ in range(20):
+            bed.serve(latency=10.0, report={"inflight": 2.0})
+        bed.period(0.0)
+    whole = bed.brain.threshold(1.0, len(bed.brain.ready))
+    bed.give(api.Membership(api.ListForm.FULL, servers(4)))
+    assert bed.brain.threshold(1.0, len(bed.brain.ready)) < 0.6 * whole
