--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -458,7 +458,7 @@
             # Guard: at size the servers over the median were jammed one by one while it was under 0.97.
             room = UTIL_ROOM * (1.0 - min(1.0, FEW / self.cfg.siblings))
             load = max(load, utils / (UTIL_TARGET - room))
-        # Guard: counts in flight tell of now, answers of calls sent before; by those alone servers choked first.
+        # Guard: counts in flight tell of now, answers of calls sent before: by answers alone servers choked.
         held = sum([peer.queue + peer.load for peer in fresh]) / len(fresh) if fresh and self.counted else 0.0
         load = max(load, held / HELD_TARGET)
         if self.ended:
