Count a server's failures by class, and keep their class away from it

`_judge` kept one smoothed share of failures a server, so such a one stood at a third, and `_rank` only divided by what was left. It is now kept by class, rises at 0.4 a failure, is forgotten over 30 s, and counts to the third power.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -48,6 +48,9 @@
 PEAK_MS = 15000.0  # how slowly the rate's peak is forgotten
 GAIN = 0.2  # smoothing of a server's latency and errors, per outcome
 CLASS_GAIN = 0.03  # smoothing of a class's latency, per outcome
+ERRS_GAIN = 0.4  # smoothing of a server's failures, upwards
+ERRS_MS = 30000.0  # how slowly a server's failures are forgotten while nothing goes to it
+FAIL_BEND = 3.0  # they keep calls of their class from it this much more than in proportion
 FORGET_MS = 8000.0  # an unheard server drifts back to the mean at this pace
 STALE_MS = 500.0  # a reported queue is believed for about this long
 FRESH_MS = 1500.0  # a reported utilisation counts for this long
@@ -67,7 +70,8 @@
 
     info: api.Server
     slow: float | None = None  # smoothed latency over its class's mean
-    errs: float = 0.0  # smoothed share of failed attempts
+    errs: dict[str, tuple[float, float]] = field(default_factory=dict)  # by class: the share of failed
+    # attempts, smoothed, and when one last ended
     heard_ms: float = -math.inf
     load: float = 0.0  # calls in flight from here, by weight, those given up too while they may run on
     given_up: deque[tuple[float, float]] = field(
@@ -272,9 +276,9 @@
             drawn = list(dict.fromkeys(self.rng.choices(fit, powers, k=SAMPLE)))
         use = [peer for peer in drawn if self._paced(now, peer, sum(powers) if len(fit) > SAMPLE else 0.0)]
         use = use or [peer for peer in fit if self._warm(now, peer)]
-        return min(use, key=lambda peer: self._rank(now, peer), default=None)
+        return min(use, key=lambda peer: self._rank(now, peer, job.kind.name), default=None)
 
-    def _rank(self, now: float, peer: _Peer) -> float:
+    def _rank(self, now: float, peer: _Peer, service: str) -> float:
         """Smoothed latency x (queue + 1); a silent server drifts to the mean of the others, which is 1."""
         slow = 1.0
         if peer.slow is not None:
@@ -284,7 +288,10 @@
             (name, _), sent_ms = next(iter(peer.out.items()))
             mean = self.class_ms.get(self.jobs[name].kind.name) if peer.heard_ms <= sent_ms else None
             slow = max(slow, (now - sent_ms) / mean) if mean else slow
-        failing = 1.0 - min(0.9, peer.errs)
+        # Guard: new servers failed nine in ten calls of one class at once and served the others. Judged by
+        # all classes together they went on getting those calls, which must not be repeated.
+        errs, then = peer.errs.get(service, (0.0, now))
+        failing = math.pow(1.0 - min(0.9, errs * math.exp((then - now) / ERRS_MS)), FAIL_BEND)
         queue = self.queue * self._power(now, peer)
         queue += (peer.queue - queue) * math.exp((peer.told_ms - now) / STALE_MS)
         far = ZONE_WEIGHT * self.cfg.cross_zone_price if peer.info.zone != self.cfg.zone else 0.0
@@ -405,7 +412,9 @@
         if result is api.Result.FULL:
             peer.queue, peer.told_ms = max(peer.queue, peer.load), now
             return
-        peer.errs += GAIN * ((result is not api.Result.OK) - peer.errs)
+        errs, _ = peer.errs.get(job.kind.name, (0.0, now))
+        gain = GAIN if result is api.Result.OK else ERRS_GAIN
+        peer.errs[job.kind.name] = (errs + gain * ((result is not api.Result.OK) - errs), now)
         if result in (api.Result.OK, api.Result.TIMEOUT):  # a fast error must not look fast
             self.ratios.append(event.latency_ms / job.kind.aim_ms)
             mean = self.class_ms.get(job.kind.name)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -194,6 +194,40 @@
     assert first_use(later) < first_use(bed)
 
 
+def test_a_server_that_fails_one_class_loses_that_class_only():
+    """Guard: judged by all its classes together, it went on getting the calls that must not be repeated."""
+    bed = Bed(count=4)
+    took = {"post": 0, "read": 0}
+    for _ in range(120):
+        for service in took:
+            name, acts = bed.ask(service)
+            server = sent(acts)[0].server
+            took[service] += server == "s0"
+            broken = server == "s0" and service == "post"
+            bed.now += 20.0
+            bed.end(
+                name,
+                server,
+                api.Result.ERROR if broken else api.Result.OK,
+                2.0 if broken else 20.0,
+                done=True,
+            )
+            bed.period(0.0)
+    assert took["post"] <= 8
+    assert took["read"] >= 20
+
+
+def test_a_server_that_has_failed_is_tried_again_in_the_end():
+    bed = Bed(count=2)
+    for _ in range(6):
+        for server, result in (("s0", api.Result.ERROR), ("s1", api.Result.OK)):
+            name, acts = bed.ask("post")
+            used = sent(acts)[0].server
+            bed.end(name, used, result if used == server else api.Result.OK, 20.0, done=True)
+    bed.now += 120000.0
+    assert {sent(bed.ask("post")[1])[0].server for _ in range(4)} == {"s0", "s1"}
+
+
 def test_a_trouble_of_all_leaves_all_in_use():
     bed = Bed(count=6)
     for _ in range(6):
