--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -11,6 +11,7 @@
 import orjson
 import pytest
 
+from orchidledge.net.discovery import parse_listing
 from orchidledge.settings import settings_from
 from orchidledge.simhost import Host, WireError, _server, run
 
@@ -321,6 +322,8 @@
     given = {"fields": ["err_ps", "concurrent"], "via": "inline"}
     for weights, sized in (("nominal", True), ("rough", True), ("live", False), ("off", False)):
         assert settings_from(CONFIG | {"feedback": given, "weights": weights}).sized is sized
+    target = {"uid": "s0", "endpoint": "127.0.0.1:9", "state": "Ready", "capacity_hint": 2.5}
+    assert parse_listing({"rev": 1, "all": True, "targets": [target]}).servers[0].size == 2.5
     row = {"server": "s0", "stageState": "up", "powerHint": 2.5}
     assert _server(row).size == 2.5
     for odd in (None, 0, -1.0, "4", True):
