Let a connection that has just answered rest before it is used again

Ruled out: bytes that come in one read or wait in the kernel (both are seen already). Lines: Pool.take_idle, which took the newest connection however fresh. Design: take_idle passes over what answered less than 10 ms ago and leaves it in the pool.

--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -12,6 +12,7 @@
 Address = tuple[str, int]
 
 IDLE_SHARE = 0.5  # of the time after which a server closes an idle connection: ours goes well before
+REST_S = 0.01  # after an answer, within which a spoilt second one may still come behind it
 
 
 def result_of(response: Response) -> Result:
@@ -188,8 +189,14 @@
 
     def take_idle(self, server: _Server) -> ClientConnection | None:
         now = asyncio.get_running_loop().time()
-        while server.idle:
-            connection = server.idle.pop()
+        # Guard: a second answer came 1 to 4 ms behind the first, when a connection may have been in use
+        # again; it would have been served to another request. So one that has just answered is passed over
+        # for a moment. It costs a new connection where calls to a server come closer than that.
+        for at in reversed(range(len(server.idle))):
+            connection = server.idle[at]
+            if now - connection.idle_since < REST_S:
+                continue
+            del server.idle[at]
             if now - connection.idle_since < self._idle_s and connection.usable:
                 return connection
             connection.abort()
