End what was never sent when its request is over, cancels allowed or not

Seen, with a connection held back by the test: where a site allows no cancels the module sends none, and the attempt of a client that had left was written as soon as its connection came up. With cancels allowed it was ended, but booked as running on. Ruled out: later calls on the same connection and half-closes (both end with it already). Lines: Node._end, which ended the request but not its attempts; Attempt.cancel. Design: Node._end ends every attempt whose last byte has not left, as moot: it never ran.

--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -285,6 +285,11 @@
         self.open -= 1
         if job.backstop is not None:
             job.backstop.cancel()
+        # Guard: where the site allows no cancels the module sends none, and an attempt that waited for its
+        # connection was written after its client had left. Ending what was never sent takes no permission.
+        for attempt in job.attempts:
+            if attempt is not None and not attempt.sent:
+                attempt.cancel()
         self._forget(job)
 
     def _forget(self, job: _Job) -> None:
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -53,8 +53,14 @@
         self._end_at = loop.time() + timeout_s
         self._timer = loop.call_at(self._end_at, self._time_out)
 
+    @property
+    def sent(self) -> bool:
+        """Whether the request's last byte has left: it may run from then on."""
+        return self._connection is not None and self._connection.written
+
     def cancel(self) -> None:
-        self._finish(Result.CANCELLED)
+        """End it; what has not left whole never does."""
+        self._finish(Result.CANCELLED if self.sent else Result.MOOT)
 
     def withdraw(self) -> None:
         """Give up before anything was sent."""
@@ -109,8 +115,7 @@
 
     def _time_out(self) -> None:
         # Guard: what has not been written whole has never run, and a refusal may then say so.
-        sent = self._connection is not None and self._connection.written
-        self._finish(Result.TIMEOUT if sent else Result.CONNECT_FAILED)
+        self._finish(Result.TIMEOUT if self.sent else Result.CONNECT_FAILED)
 
     def _finish(self, result: Result, response: Response | None = None) -> None:
         if self._over:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,9 +4,12 @@
 
 import asyncio
 
-from loopback import Caller, Scripted, read_message, reply, request, running, until
+import pytest
+from loopback import Caller, Held, Peer, Scripted, ask, read_message, reply, request, running, until
 from test_node import send_to
 
+from orchidledge import interface as api
+
 
 class Raw:
     """A server whose test reads and writes each of its connections by hand."""
@@ -55,3 +58,149 @@
             caller.writer.close()
 
     asyncio.run(main())
+
+
+class Slow:
+    """Has connections of a node's pool come up only when they are let through, after the first few."""
+
+    def __init__(self, node, at_once: int = 0) -> None:
+        self.gate = asyncio.Event()
+        self.waiting = 0
+        self.at_once = at_once
+        self._open = node.pool.open
+        node.pool.open = self.open
+        node.pool.connect_timeout_s = 60.0
+
+    async def open(self, endpoint):
+        self.waiting += 1
+        if self.waiting > self.at_once:
+            await self.gate.wait()
+        return await self._open(endpoint)
+
+
+CANCEL = pytest.mark.parametrize("cancel", [True, False])
+
+
+@CANCEL
+@pytest.mark.parametrize("half", [True, False])
+def test_a_client_that_leaves_while_its_connection_comes_up_is_not_sent_on(cancel, half):
+    async def main():
+        server = Peer()
+        async with running(server, bounds={"cancel": cancel}) as node:
+            slow = Slow(node)
+            caller = await Caller.to(node)
+            caller.writer.write(request("post", "left"))
+            await until(lambda: slow.waiting)
+            if half:
+                caller.writer.write_eof()
+            else:
+                caller.writer.close()
+            await until(lambda: node.open == 0)
+            slow.gate.set()
+            await until(lambda: not node.pool._opening)
+            assert (await ask(node, request("post", "next"))).status == 200
+            assert [message.headers["req-id"] for message in server.seen] == ["next"]
+            assert not node.jobs
+            assert node.balancer.peers["s0"].load == 0.0
+            caller.writer.close()
+
+    asyncio.run(main())
+
+
+@CANCEL
+def test_a_client_that_leaves_while_a_resend_comes_up_is_not_sent_on(cancel):
+    async def main():
+        async def declines(message):
+            return reply(503, Srv_Declined="1")
+
+        full, other = Peer(declines), Peer()
+        async with running(full, other, bounds={"cancel": cancel}) as node:
+            node.balancer = scripted = Scripted(send_to("s0", "s1"))
+            caller = await Caller.to(node)
+            slow = Slow(node, at_once=1)
+            caller.writer.write(request("post", "left"))
+            await until(lambda: slow.waiting == 2)
+            caller.writer.close()
+            await until(lambda: scripted.of(api.Lapsed))
+            slow.gate.set()
+            await until(lambda: not node.pool._opening)
+            assert [event.result for event in scripted.of(api.Outcome)] == [api.Result.FULL, api.Result.MOOT]
+            assert other.seen == []
+            assert not node.jobs
+
+    asyncio.run(main())
+
+
+@CANCEL
+def test_a_client_that_leaves_takes_the_requests_behind_its_first_with_it(cancel):
+    async def main():
+        server = Held()
+        async with running(server, bounds={"cancel": cancel}) as node:
+            caller = await Caller.to(node)
+            caller.writer.write(request(name="first") + request(name="second"))
+            await until(lambda: server.seen)
+            caller.writer.close()
+            await until(lambda: node.open == 0)
+            server.release.set()
+            await until(lambda: not node.jobs)
+            assert (await ask(node, request(name="next"))).status == 200
+            assert [message.headers["req-id"] for message in server.seen] == ["first", "next"]
+
+    asyncio.run(main())
+
+
+@CANCEL
+def test_a_client_that_leaves_while_its_request_is_half_written_has_not_run(cancel):
+    """The server takes no more bytes: the rest waits in the node."""
+
+    async def main():
+        server = Raw()
+        async with running(server, bounds={"cancel": cancel}) as node:
+            node.balancer = scripted = Scripted(send_to("s0"))
+            opened = node.pool.open
+
+            async def open_choked(endpoint):
+                connection = await opened(endpoint)
+                transport = connection._transport
+                while not transport.get_write_buffer_size():  # until the kernel takes no more
+                    transport.write(b"x" * 1000)
+                connection.resume_writing = lambda: None
+                return connection
+
+            node.pool.open = open_choked
+            caller = await Caller.to(node)
+            caller.writer.write(request("post", "left", b"y" * 1000))
+            await until(lambda: node.jobs and node.jobs["left"].attempts[0]._connection)
+            assert not node.jobs["left"].attempts[0].sent
+            caller.writer.close()
+            await until(lambda: scripted.of(api.Lapsed))
+            assert [event.result for event in scripted.of(api.Outcome)] == [api.Result.MOOT]
+            reader, _ = server.links[0]
+            assert b"left" not in await reader.read()
+
+    asyncio.run(main())
+
+
+def test_a_client_that_leaves_as_the_connection_has_just_come_up_is_not_sent_on():
+    async def main():
+        server = Peer()
+        async with running(server, bounds={"cancel": False}) as node:
+            slow = Slow(node)
+            caller = await Caller.to(node)
+            caller.writer.write(request("post", "left"))
+            await until(lambda: slow.waiting)
+            opened = slow._open
+
+            async def open_and_leave(endpoint):
+                connection = await opened(endpoint)
+                node.jobs["left"].call.connection.abort()  # after coming up and before being written to
+                node.jobs["left"].call.connection.connection_lost(None)
+                return connection
+
+            slow._open = open_and_leave
+            slow.gate.set()
+            await until(lambda: not node.jobs and not node.pool.size)
+            assert server.seen == []
+            caller.writer.close()
+
+    asyncio.run(main())
