Begin keyed repeats while their key is remembered, and end attempts at once

Seen by test: a keyed repeat whose connection came up after the key's memory was over was written all the same (window checked at the decision only, connections come up to the connect timeout later); and an attempt given up kept its socket open for a turn of the loop, beside the next attempt that the same turn sent (a second copy where none is allowed). Ruled out: repeats of safe and unsafe classes; a repeat on an idle connection, written at once. Lines: Balancer._send, Attempt._open; ClientConnection.abort. Design: Send.begin_ms bounds the time to connect; abort ends the sending side at once.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -335,10 +335,14 @@
         peer = self._pick(now, job)
         if peer is None:
             return False
+        begin, ran = 0.0, job.may_have_run()
+        if ran and job.kind.effect is api.Effect.KEYED:
+            # Guard: a repeat whose connection came up late was written after its key may have been forgotten.
+            begin = ran[0].sent_ms + job.kind.memory_ms - now
         peer.out[(job.request.id, len(job.tries))] = now
         job.tries.append(_Try(peer, now))
         peer.load += job.units
-        acts.append(api.Send(job.request.id, peer.info.address, left))
+        acts.append(api.Send(job.request.id, peer.info.address, left, begin))
         return True
 
     def _on_outcome(self, now: float, event: api.Outcome, acts: list[api.Action]) -> None:
--- a/orchidledge/interface.py
+++ b/orchidledge/interface.py
@@ -221,6 +221,7 @@
     id: str
     server: str
     timeout_ms: float = 0.0  # 0: until the client gives up
+    begin_ms: float = 0.0  # not to be begun later than this, when its connection comes up late; 0: whenever
 
 
 @dataclass(slots=True)
--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import select
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -90,6 +92,10 @@
         self._exchange = None
         self._spoilt = True
         if self._transport is not None:
+            # Guard: asyncio closes the socket a turn later, after what this turn sends elsewhere; until then
+            # the attempt given up was still out beside the next one.
+            with contextlib.suppress(OSError):
+                self._transport.get_extra_info("socket").shutdown(socket.SHUT_WR)
             self._transport.abort()
 
     # ---------------------------------------------------------- asyncio.Protocol
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -330,7 +330,13 @@
             job.attempts[number] = None
             self._outcome(action, number, job, result, began, response)
 
-        attempt = self.pool.send(action.server, lambda wait: _forwarded(job.call, wait), timeout, on_result)
+        attempt = self.pool.send(
+            action.server,
+            lambda wait: _forwarded(job.call, wait),
+            timeout,
+            on_result,
+            action.begin_ms / 1000.0 if action.begin_ms > 0.0 else timeout,
+        )
         if attempt is None:
             on_result(api.Result.CONNECT_FAILED, None)
         else:
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -41,8 +42,10 @@
         request: Callable[[float], bytes],
         timeout_s: float,
         on_result: Callable[[Result, Response | None], None],
+        begin_s: float,
     ) -> None:
         self._pool = pool
+        self._begin_s = begin_s  # within which its first byte leaves, or none does
         self._request = request  # the bytes to send, given the seconds left to wait
         self._on_result = on_result
         self._over = False
@@ -95,7 +98,7 @@
 
     async def _open(self, server: _Server) -> None:
         try:
-            async with asyncio.timeout(self._pool.connect_timeout_s):
+            async with asyncio.timeout(min(self._pool.connect_timeout_s, self._begin_s)):
                 connection = await self._pool.open(server.endpoint)
         except (OSError, TimeoutError):
             self._connect = None
@@ -173,12 +176,13 @@
         request: Callable[[float], bytes],
         timeout_s: float,
         on_result: Callable[[Result, Response | None], None],
+        begin_s: float = math.inf,
     ) -> Attempt | None:
         """Start an attempt; None if no such server is named."""
         server = self._servers.get(name)
         if server is None:
             return None
-        attempt = Attempt(self, request, timeout_s, on_result)
+        attempt = Attempt(self, request, timeout_s, on_result, begin_s)
         attempt.begin(server)
         return attempt
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
 from loopback import Caller, Held, Peer, Scripted, ask, read_message, reply, request, running, until
 from test_node import send_to
 
 from orchidledge import interface as api
+from orchidledge.net.upstream import Pool
 
 
 class Raw:
@@ -204,3 +206,50 @@
             caller.writer.close()
 
     asyncio.run(main())
+
+
+def test_an_attempt_given_up_has_ended_before_the_next_one_goes_out():
+    """In the same turn of the loop, in which asyncio has not closed the first one's socket yet."""
+
+    async def main():
+        with socket.create_server(("127.0.0.1", 0)) as first:
+            servers = Pool(10, 60.0, 60.0)
+            servers.add("s", first.getsockname())
+            attempt = servers.send("s", lambda wait: request(), 60.0, lambda *_: None)
+            await until(lambda: attempt.sent)
+            peer, _ = first.accept()
+            with peer:
+                peer.settimeout(20)
+                assert peer.recv(10_000) == request()
+                attempt.cancel()
+                assert peer.recv(1) == b""  # the event loop has had no turn
+            servers.close()
+
+    asyncio.run(main())
+
+
+def test_a_keyed_repeat_whose_connection_comes_up_after_its_memory_is_never_begun():
+    async def main():
+        async def fails(message):
+            node.balancer.ready = [node.balancer.peers["s1"]]
+            return reply(500)
+
+        first, second = Peer(fails), Peer()
+        kinds = [{"name": "move", "aimMs": 20000.0, "giveUpMs": 30000.0, "effect": "guarded"}]
+        kinds[0]["memorySpanMs"] = 300.0
+        async with running(first, second, settings={"categories": kinds}) as node:
+            slow = Slow(node, at_once=1)
+            node.balancer.ready = [node.balancer.peers["s0"]]
+            caller = await Caller.to(node)
+            # The second connection comes up once the key may have been forgotten.
+            asked = asyncio.ensure_future(caller.ask(request("move", "q1", Idempotency_Key="k")))
+            await until(lambda: slow.waiting == 2)
+            forgotten = node.loop.time() + 0.3
+            await until(lambda: node.loop.time() > forgotten)
+            slow.gate.set()
+            assert (await asked).status == 502
+            await until(lambda: not node.pool._opening)
+            assert second.seen == []
+            caller.writer.close()
+
+    asyncio.run(main())
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -76,6 +76,14 @@
     assert kinds(bed.end(name, sent(acts)[0].server, api.Result.ERROR)) == [api.Fail]
 
 
+def test_a_keyed_repeat_is_begun_while_its_key_is_remembered():
+    bed = Bed()
+    name, acts = bed.ask("points")
+    assert sent(acts)[0].begin_ms == 0.0
+    bed.now += 600
+    assert [act.begin_ms for act in sent(bed.end(name, sent(acts)[0].server, api.Result.ERROR))] == [300.0]
+
+
 def test_attempts_are_bounded():
     bed = Bed(count=8, max_attempts=2)
     name, acts = bed.ask("post")
