Open a broken or silent watch anew at once, and say what could not be read

Read off the code and forced by test: after a reset or a silence the pushed watch paused 0.5 s before the first try anew; the first call at an address waited up to 5 s + 1.2 s, so one silent after a move was noticed beyond the 4 s in which its news counts as told; a hang-up that named the same address kept a watch that may be dead; an agent that answered without waiting was asked without end; a list that can't be read left no log line, and one that named a host by name had it looked up in a thread. Ruled out (now tested): silence within half an answer, a move during a pause, a second hang-up, words of the broken watch arriving late, revision after a move.

--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import ipaddress
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -14,10 +16,14 @@
 from orchidledge.net.upstream import Address
 from orchidledge.settings import size_from
 
+log = logging.getLogger("orchidledge")
+
 # A call unanswered so long after its wait has failed; 2 s after it, its news counts as told.
 LATE_S = 1.2
 CONNECT_S = 1.0
-PUSH_PAUSE_S = 0.5  # before a local agent is asked again after a failure
+FIRST_WAIT_MS = 1000.0  # the longest wait of a connection's first call: it may be silent from the start
+PUSH_PAUSE_S = 0.5  # before a local agent is asked again after a second failure in a row
+EMPTY_PAUSE_S = 0.1  # after an answer without news that didn't wait; a watch bears 0.2 s
 MAX_LIST = 16 * 1024 * 1024
 
 STATES = {
@@ -39,9 +45,10 @@
 
 def parse_address(text: object) -> Address:
     host, _, port = str(text).rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
+    if not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
         raise ValueError(f"{text!r} is not an address and a port")
-    return host, int(port)
+    # Guard: a name would be looked up in a thread, for as long as that takes.
+    return str(ipaddress.ip_address(host)), int(port)
 
 
 def parse_listing(row: object) -> Listing:
@@ -76,6 +83,10 @@
     )
 
 
+def _reason(error: Exception) -> str:
+    return " ".join(str(error).split()) or "no answer in time"
+
+
 class _Call:
     """One discovery call in flight: a future for its answer."""
 
@@ -104,9 +115,9 @@
     ) -> None:
         self._address = address
         self._revision = revision
-        self._wait_ms = int(wait_ms)
-        self._limit_s = wait_ms / 1000.0 + LATE_S
+        self._wait_ms = wait_ms
         self._endless = endless
+        self._failures = 0  # in a row
         self._on_news = on_news
         self._task: asyncio.Task[None] | None = None
         self._connection: ClientConnection | None = None
@@ -117,12 +128,12 @@
             self._task = asyncio.create_task(self._follow())
 
     def move(self, address: Address) -> None:
-        """Follow the list at another address from now on, from the revision that is held."""
-        if address != self._address:
-            self.close()
-            self._address, self._task = address, None
-            # Guard: news of the new address counts as told soon, so it is asked now, whatever went before.
-            self.start()
+        """Follow the list at this address from now on, from the revision that is held."""
+        # Guard: its news counts as told soon, so it is asked now, whatever went before: a pause, or at the
+        # same address a watch that may have fallen silent unnoticed.
+        self.close()
+        self._address, self._task, self._failures = address, None, 0
+        self.start()
 
     def close(self) -> None:
         if self._task is not None:
@@ -130,26 +141,40 @@
         self._drop()
 
     async def _follow(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
+            asked = loop.time()
             try:
-                async with asyncio.timeout(self._limit_s):
-                    listing = await self._ask()
-            except (OSError, TimeoutError, ValueError):
+                listing = await self._ask()
+            except (OSError, TimeoutError, ValueError) as error:
                 self._drop()
+                self._failures += 1
+                if self._failures == 1 or isinstance(error, ValueError):
+                    log.warning("the server list could not be had, the old one stays: %s", _reason(error))
                 if not self._endless:
                     self._task = None
                 self._on_news(ListForm.FAILED, None)
                 if not self._endless:
                     return
-                await asyncio.sleep(PUSH_PAUSE_S)
+                # Guard: after a break or a silence the agent may have news that counts as told: a pause
+                # before the first try anew left the node blind for longer than need be.
+                if self._failures > 1:
+                    await asyncio.sleep(PUSH_PAUSE_S)
                 continue
+            self._failures = 0
+            idle = listing.revision == self._revision
             self._revision = listing.revision
             self._on_news(ListForm.FULL if listing.whole else ListForm.DELTA, listing)
+            if idle and loop.time() - asked < EMPTY_PAUSE_S:
+                # Guard: an agent that doesn't wait would be asked without end.
+                await asyncio.sleep(EMPTY_PAUSE_S)
 
     async def _ask(self) -> Listing:
-        connection = self._connection
+        connection, wait_ms = self._connection, self._wait_ms
         if connection is None or not connection.usable:
             self._drop()
+            # Guard: an address that accepts and says nothing, after a move, would be noticed too late.
+            wait_ms = min(wait_ms, FIRST_WAIT_MS)
             async with asyncio.timeout(CONNECT_S):
                 _, connection = await asyncio.get_running_loop().create_connection(
                     lambda: ClientConnection(lambda _: None, MAX_LIST), *self._address
@@ -157,9 +182,10 @@
             self._connection = connection
         call = _Call()
         host = f"{self._address[0]}:{self._address[1]}"
-        target = f"/discovery/hosts?since={self._revision}&timeout_ms={self._wait_ms}"
+        target = f"/discovery/hosts?since={self._revision}&timeout_ms={int(wait_ms)}"
         connection.start(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode(), call)
-        response = await call.done
+        async with asyncio.timeout(wait_ms / 1000.0 + LATE_S):
+            response = await call.done
         if response.status != 200:
             raise ValueError(f"discovery answered {response.status}")
         return parse_listing(orjson.loads(response.body))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,10 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 
 import pytest
-from loopback import Caller, Held, Peer, Scripted, ask, read_message, reply, request, running, until
+from loopback import (
+    Caller,
+    Held,
+    Peer,
+    Scripted,
+    ask,
+    config,
+    listing,
+    read_message,
+    reply,
+    request,
+    running,
+    until,
+)
 from test_node import send_to
 
 from orchidledge import interface as api
@@ -253,3 +267,173 @@
             caller.writer.close()
 
     asyncio.run(main())
+
+
+PUSH = {"registryMode": "push"}
+UP = ("127.0.0.1:9", "Ready")
+
+
+class Agent(Raw):
+    """Discovery by hand: each call that comes, on whichever connection, waits in `calls`."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.calls: asyncio.Queue[tuple[str, asyncio.StreamWriter]] = asyncio.Queue()
+
+    async def _take(self, reader, writer):
+        await super()._take(reader, writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while True:
+                message = await read_message(reader)
+                await self.calls.put((message.first[1].partition("?")[2], writer))
+
+    async def call(self) -> tuple[str, asyncio.StreamWriter]:
+        async with asyncio.timeout(20):
+            return await self.calls.get()
+
+
+@contextlib.asynccontextmanager
+async def watched(monkeypatch, late_s=60.0, **more):
+    """A node that follows an agent, and that never gets out of a pause."""
+    monkeypatch.setattr("orchidledge.net.discovery.LATE_S", late_s)
+    monkeypatch.setattr("orchidledge.net.discovery.FIRST_WAIT_MS", 50.0, raising=False)
+    monkeypatch.setattr("orchidledge.net.discovery.PUSH_PAUSE_S", 3600.0)
+    agent = Agent()
+    settings = {"invariants": {"askWithinMs": 100.0}} | more.pop("settings", PUSH)
+    async with running(discovery=agent, settings=settings, **more) as node:
+        yield node, agent
+
+
+@pytest.mark.parametrize("spoken", [b"", listing(8, True, s9=UP)[:-20]])
+@pytest.mark.parametrize("first", [True, False])
+def test_a_watch_that_has_fallen_silent_is_opened_anew_at_once(first, spoken, monkeypatch):
+    """On a connection's first call or a later one; before an answer or in the midst of it."""
+
+    async def main():
+        async with watched(monkeypatch, late_s=1.0) as (node, agent):
+            if not first:
+                _, writer = await agent.call()
+                writer.write(listing(7, True, s7=UP))
+            said, silent = await agent.call()
+            silent.write(spoken)
+            assert said.startswith("since=1&" if first else "since=7&")
+            again, writer = await agent.call()
+            assert writer is not silent
+            assert again.partition("&")[0] == said.partition("&")[0]  # from the revision that is held
+            silent.write(listing(8, True, s8=UP))  # what the broken one says now is not heard
+            writer.write(listing(9, True, s9=UP))
+            await until(lambda: set(node.pool._servers) == {"s9"})
+            assert node.counts["list failed"] == 1
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("settings", [PUSH, {"registryMode": "ask"}])
+def test_a_watch_that_is_reset_is_opened_anew_and_a_drain_right_after_it_is_heard(settings, monkeypatch):
+    async def main():
+        async with watched(monkeypatch, settings=settings) as (node, agent):
+            _, writer = await agent.call()
+            writer.write(listing(7, True, s7=UP))
+            _, writer = await agent.call()
+            writer.transport.abort()
+            said, writer = await agent.call()
+            assert said.startswith("since=7&")
+            writer.write(listing(8, False, s7=("127.0.0.1:9", "Terminating")))
+            await until(lambda: not node.pool._servers)
+            assert not node.balancer.ready
+
+    asyncio.run(main())
+
+
+def test_the_first_call_of_a_connection_waits_no_longer_than_a_second():
+    async def main():
+        agent = Agent()
+        async with running(discovery=agent, settings=PUSH):
+            said, writer = await agent.call()
+            assert said == "since=1&timeout_ms=1000"
+            writer.write(listing(7, False))
+            assert (await agent.call())[0] == "since=7&timeout_ms=5000"
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("same", [True, False])
+def test_a_move_in_a_pause_after_failures_asks_at_once(same, monkeypatch):
+    async def main():
+        async with watched(monkeypatch) as (node, agent):
+            for _ in range(2):
+                (await agent.call())[1].close()
+            await until(lambda: node.counts["list failed"] == 2)
+            other = agent if same else await Agent().start()
+            for _ in range(2):  # a second hang-up changes nothing
+                node.reconfigure(config(other.endpoint))
+            said, writer = await other.call()
+            assert said.startswith("since=1&")
+            writer.write(listing(9, True, s9=UP))
+            await until(lambda: set(node.pool._servers) == {"s9"})
+            other.stop()
+
+    asyncio.run(main())
+
+
+def test_a_hang_up_that_names_the_same_address_opens_the_watch_anew(monkeypatch):
+    """The one that is open may have fallen silent, and what it missed counts as told in 4 s."""
+
+    async def main():
+        agent = Agent()
+        async with running(discovery=agent, settings=PUSH) as node:
+            _, writer = await agent.call()
+            writer.write(listing(7, True, s7=UP))
+            _, silent = await agent.call()
+            node.reconfigure(config(agent.endpoint))
+            said, writer = await agent.call()
+            assert (said, writer is silent) == ("since=7&timeout_ms=1000", False)
+            silent.write(listing(8, True, s8=UP))
+            writer.write(listing(9, True, s9=UP))
+            await until(lambda: set(node.pool._servers) == {"s9"})
+            assert node.counts["list failed"] == 0
+
+    asyncio.run(main())
+
+
+def test_an_agent_that_does_not_wait_is_not_asked_without_end(monkeypatch):
+    async def main():
+        monkeypatch.setattr("orchidledge.net.discovery.EMPTY_PAUSE_S", 3600.0, raising=False)
+        agent = Agent()
+        async with running(discovery=agent, settings=PUSH) as node:
+            for _ in range(2):  # the first is news
+                _, writer = await agent.call()
+                writer.write(listing(7, False))
+            await until(lambda: node.counts["list delta"] == 2)
+            for _ in range(20):
+                await asyncio.sleep(0)
+            assert agent.calls.empty()
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize(
+    "spoilt",
+    [
+        reply(200, b"{"),
+        reply(200, b'{"rev":true,"all":1,"targets":{}}'),
+        listing(9, True, s9=("a.name.that.is.looked.up:80", "Ready")),
+        b"no answer at all\r\n\r\n",
+    ],
+)
+def test_a_list_that_cannot_be_read_is_one_log_line_and_a_new_watch(spoilt, monkeypatch, caplog):
+    async def main():
+        async with watched(monkeypatch) as (node, agent):
+            _, writer = await agent.call()
+            writer.write(listing(7, True, s7=UP))
+            _, bad = await agent.call()
+            caplog.clear()
+            bad.write(spoilt)
+            said, writer = await agent.call()
+            assert said.startswith("since=7&")
+            assert (set(node.pool._servers), set(node.balancer.peers)) == ({"s7"}, {"s7"})
+            lines = [record.getMessage() for record in caplog.records if record.levelname == "WARNING"]
+            assert len(lines) == 1
+            assert "the old one stays" in lines[0]
+
+    asyncio.run(main())
