--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -166,3 +166,62 @@
             second.stop()
 
     asyncio.run(main())
+
+
+def test_sigterm_before_the_configuration_is_read_ends_in_order(tmp_path):
+    """The file is a pipe: the node waits for it, its handlers set, as the signal comes."""
+    path = tmp_path / "config.json"
+    os.mkfifo(path)
+    program = start(path)
+    try:
+        with path.open("wb") as pipe:  # opens once the node has opened it too
+            program.send_signal(signal.SIGTERM)
+            pipe.write(orjson.dumps(config_row("127.0.0.1:1")))
+        _, said = program.communicate(timeout=60)
+        assert program.returncode == 0
+        assert "Traceback" not in said
+    finally:
+        program.kill()
+        program.wait()
+
+
+def test_a_hang_up_while_the_node_leaves_service_is_followed(tmp_path):
+    async def main():
+        hung, first = await Peer(lambda message: asyncio.sleep(60)).start(), await Discovery().start()
+        second = await Discovery().start()
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            address = free.getsockname()
+        row = config_row(first.endpoint, known=targets(s0=(hung.endpoint, "Ready")))
+        row["listen"] = f"{address[0]}:{address[1]}"
+        path = tmp_path / "config.json"
+        path.write_bytes(orjson.dumps(row))
+        program = start(path)
+        try:
+            async with asyncio.timeout(60):
+                await until(lambda: first.seen)  # it listens before it asks
+                caller = Caller(*await asyncio.open_connection(*address))
+                caller.writer.write(request(name="held"))
+                await until(lambda: hung.seen)
+                program.send_signal(signal.SIGTERM)
+                while (await caller_up(address)) == 200:
+                    pass
+                path.write_bytes(orjson.dumps(row | {"discovery": second.endpoint}))
+                program.send_signal(signal.SIGHUP)
+                await until(lambda: second.seen)
+                assert (await caller.answer()).status == 503  # given up at the end: safe to ask elsewhere
+                caller.writer.close()
+                assert await asyncio.to_thread(program.wait) == 0
+        finally:
+            program.kill()
+            program.communicate()
+            for peer in (hung, first, second):
+                peer.stop()
+
+    async def caller_up(address) -> int:
+        caller = Caller(*await asyncio.open_connection(*address))
+        try:
+            return (await caller.ask(UP)).status
+        finally:
+            caller.writer.close()
+
+    asyncio.run(main())
