--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import select
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -32,8 +34,13 @@
 
 def readable(transport: asyncio.BaseTransport) -> bool:
     """Whether bytes, an end or an error wait in the kernel that the event loop has not delivered yet."""
+    return pending(transport.get_extra_info("socket").fileno())
+
+
+def pending(fileno: int) -> bool:
+    """The same of any socket; of a listening one, whether a connection waits to be accepted."""
     poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+    poll.register(fileno, select.POLLIN | select.POLLRDHUP)
     return bool(poll.poll(0))
 
 
@@ -90,6 +97,10 @@
         self._exchange = None
         self._spoilt = True
         if self._transport is not None:
+            # Guard: asyncio closes the socket a turn later, after what this turn sends elsewhere; until then
+            # the attempt given up was still out beside the next one.
+            with contextlib.suppress(OSError):
+                self._transport.get_extra_info("socket").shutdown(socket.SHUT_WR)
             self._transport.abort()
 
     # ---------------------------------------------------------- asyncio.Protocol
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -12,6 +13,7 @@
 Address = tuple[str, int]
 
 IDLE_SHARE = 0.5  # of the time after which a server closes an idle connection: ours goes well before
+REST_S = 0.01  # after an answer, within which a spoilt second one may still come behind it
 
 
 def result_of(response: Response) -> Result:
@@ -40,8 +42,10 @@
         request: Callable[[float], bytes],
         timeout_s: float,
         on_result: Callable[[Result, Response | None], None],
+        begin_s: float,
     ) -> None:
         self._pool = pool
+        self._begin_s = begin_s  # within which its first byte leaves, or none does
         self._request = request  # the bytes to send, given the seconds left to wait
         self._on_result = on_result
         self._over = False
@@ -52,8 +56,14 @@
         self._end_at = loop.time() + timeout_s
         self._timer = loop.call_at(self._end_at, self._time_out)
 
+    @property
+    def sent(self) -> bool:
+        """Whether the request's last byte has left: it may run from then on."""
+        return self._connection is not None and self._connection.written
+
     def cancel(self) -> None:
-        self._finish(Result.CANCELLED)
+        """End it; what has not left whole never does."""
+        self._finish(Result.CANCELLED if self.sent else Result.MOOT)
 
     def withdraw(self) -> None:
         """Give up before anything was sent."""
@@ -88,7 +98,7 @@
 
     async def _open(self, server: _Server) -> None:
         try:
-            async with asyncio.timeout(self._pool.connect_timeout_s):
+            async with asyncio.timeout(min(self._pool.connect_timeout_s, self._begin_s)):
                 connection = await self._pool.open(server.endpoint)
         except (OSError, TimeoutError):
             self._connect = None
@@ -108,8 +118,7 @@
 
     def _time_out(self) -> None:
         # Guard: what has not been written whole has never run, and a refusal may then say so.
-        sent = self._connection is not None and self._connection.written
-        self._finish(Result.TIMEOUT if sent else Result.CONNECT_FAILED)
+        self._finish(Result.TIMEOUT if self.sent else Result.CONNECT_FAILED)
 
     def _finish(self, result: Result, response: Response | None = None) -> None:
         if self._over:
@@ -167,12 +176,13 @@
         request: Callable[[float], bytes],
         timeout_s: float,
         on_result: Callable[[Result, Response | None], None],
+        begin_s: float = math.inf,
     ) -> Attempt | None:
         """Start an attempt; None if no such server is named."""
         server = self._servers.get(name)
         if server is None:
             return None
-        attempt = Attempt(self, request, timeout_s, on_result)
+        attempt = Attempt(self, request, timeout_s, on_result, begin_s)
         attempt.begin(server)
         return attempt
 
@@ -188,8 +198,14 @@
 
     def take_idle(self, server: _Server) -> ClientConnection | None:
         now = asyncio.get_running_loop().time()
-        while server.idle:
-            connection = server.idle.pop()
+        # Guard: a second answer came 1 to 4 ms behind the first, when a connection may have been in use
+        # again; it would have been served to another request. So one that has just answered is passed over
+        # for a moment. It costs a new connection where calls to a server come closer than that.
+        for at in reversed(range(len(server.idle))):
+            connection = server.idle[at]
+            if now - connection.idle_since < REST_S:
+                continue
+            del server.idle[at]
             if now - connection.idle_since < self._idle_s and connection.usable:
                 return connection
             connection.abort()
