Give the watch one time budget, so that a change is told 6 s after discovery's return

Seen: against a discovery that comes back right after a call to it has gone out, a change was told 6.20 s after the return where lists are pushed and 6.55 to 6.68 s where they are asked for. Ruled out: long pauses of up to 4 s. They follow a connection's first call, which waits 1 s, or one that ends at once; so they were never the worst.

Change: interface.py derives wait, lateness, connect and pause from TOLD_MS. What is bounded is the time from a failed call's begin to the next one's, 4.5 s; connecting (1.2 s, so that a lost SYN is sent again) and 0.3 s to spare make up 6 s. A later call now waits 3 s. The module takes what the call took off its pause: a call that is refused at once is followed by up to 4 s, a silent first one by up to 2.5 s. A pause begun before a move is withdrawn: its alarm came during the call after the move, the module took it for that call's begin, and the test saw 5.12 and 5.59 s.

Test: the real node, watch and module on socket pairs under an event loop whose clock jumps; discovery comes back 1 ms after each of eight attempts, or at a drawn moment, at a first call, a later one and after a move.

test_crossings asserted the old wait of 5000 ms on a second call; it asserts 3000, as exactly.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -56,8 +56,6 @@
 FRESH_MS = 1500.0  # a reported utilisation counts for this long
 JITTER = 0.1  # width of the draw that parts equal ranks
 ZONE_WEIGHT = 64.0  # calls in the queue that a crossing of zones counts as, per unit of its price
-WATCH_MS = 250.0  # half the first wait before discovery is asked again; doubled at each failure
-WATCH_MAX_MS = 4000.0  # the longest such wait
 SAMPLE = 3  # servers drawn for a call, by what they can do, of which the best ranked is picked
 COLD_SHARE = 0.85  # of the overload factor: what a cold server may get of its share of the calls
 COLD_POOL = 0.6  # of what the ready servers can do warm: what the pool is taken to do at the least
@@ -144,6 +142,7 @@
         self.started = False
         self.leaving = False
         self.watch_failures = 0
+        self.asked_ms = now_ms  # when the discovery call that is out began, or earlier
         self.periods = 0
         self.ratios: list[float] = []  # this period's latencies over their aims
         self.first: list[float] = []  # the first latencies over their aims, up to BASE_LEAST or a few more
@@ -165,7 +164,7 @@
             self.started = True
             acts.append(api.Wake(self.period_ms, "period"))
             if self.cfg.ask_discovery:
-                acts.append(api.Watch())
+                self._watch(now, acts)
         if isinstance(event, api.Request):
             self._on_request(now, event, acts)
         elif isinstance(event, api.Outcome):
@@ -174,9 +173,9 @@
             acts.append(api.Wake(self.period_ms, "period"))
             self._on_period(now, self.ready)
         elif isinstance(event, api.Alarm) and event.name == "watch":
-            acts.append(api.Watch())
+            self._watch(now, acts)
         elif isinstance(event, api.Membership):
-            self._on_membership(event, acts)
+            self._on_membership(now, event, acts)
         elif isinstance(event, api.Lapsed) and event.id in self.jobs:
             self._end(self.jobs[event.id], acts)
         elif isinstance(event, api.Started) and event.id in self.jobs:
@@ -190,11 +189,20 @@
 
     # ------------------------------------------------------------ membership
 
-    def _on_membership(self, event: api.Membership, acts: list[api.Action]) -> None:
+    def _watch(self, now: float, acts: list[api.Action]) -> None:
+        self.asked_ms = now
+        acts.append(api.Watch())
+
+    def _on_membership(self, now: float, event: api.Membership, acts: list[api.Action]) -> None:
+        asked, self.asked_ms = self.asked_ms, now  # each answer is followed by a call at once
         if event.form is api.ListForm.FAILED:  # subscribe anew, backing off so as not to crowd discovery
             self.watch_failures += 1
-            wait = min(WATCH_MAX_MS, WATCH_MS * 2.0**self.watch_failures)
-            acts.append(api.Wake(wait * self.rng.uniform(0.5, 1.0), "watch"))
+            # Guard: pauses that didn't look at what the call had taken came on top of a long silent one, and
+            # a change was told over 6 s after discovery's return.
+            left = api.WATCH_CYCLE_MS - max(api.WATCH_PAUSE_MS, now - asked)
+            wait = min(api.WATCH_PAUSE_MS * 2.0 ** (self.watch_failures - 1), left)
+            wait = max(api.WATCH_PAUSE_MS, wait) * self.rng.uniform(0.5, 1.0)
+            acts.append(api.Wake(wait, "watch"))
             return
         if event.form is not api.ListForm.CACHED:
             self.watch_failures = 0
--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -11,18 +11,26 @@
 
 import orjson
 
-from orchidledge.interface import ListForm, Server, ServerState
+from orchidledge.interface import (
+    WATCH_CONNECT_MS,
+    WATCH_FIRST_WAIT_MS,
+    WATCH_LATE_MS,
+    WATCH_PAUSE_MS,
+    ListForm,
+    Server,
+    ServerState,
+)
 from orchidledge.net.http import ClientConnection, Response
 from orchidledge.net.upstream import Address
 from orchidledge.settings import size_from
 
 log = logging.getLogger("orchidledge")
 
-# A call unanswered so long after its wait has failed; 2 s after it, its news counts as told.
-LATE_S = 1.2
-CONNECT_S = 1.0
-FIRST_WAIT_MS = 1000.0  # the longest wait of a connection's first call: it may be silent from the start
-PUSH_PAUSE_S = 0.5  # before a local agent is asked again after a second failure in a row
+# Shares of the watch's time budget.
+LATE_S = WATCH_LATE_MS / 1000.0
+CONNECT_S = WATCH_CONNECT_MS / 1000.0
+FIRST_WAIT_MS = WATCH_FIRST_WAIT_MS
+PUSH_PAUSE_S = WATCH_PAUSE_MS / 1000.0  # before a local agent is asked again after a second failure in a row
 EMPTY_PAUSE_S = 0.1  # after an answer without news that didn't wait; a watch bears 0.2 s
 MAX_LIST = 16 * 1024 * 1024
 
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -26,7 +26,6 @@
 SPARE_SOCKETS = 16  # for the listener, discovery, standard streams and the event loop
 INBOUND_SHARE = 0.58  # of the other descriptors: callers' connections, lingering ones too;
 UPSTREAM_SHARE = 0.35  # servers'; what is left takes in a burst before others have been closed
-LONGEST_WATCH_MS = 20_000.0
 WATCH_SHARE = 0.5  # of the time within which discovery has to be asked
 FAULT_PAUSE_S = 0.5  # before an alarm or a watch is tried again that a fault of the module has lost
 STOP_OPEN_S = 0.6  # after SIGTERM connections still come for up to 0.4 s
@@ -94,7 +93,7 @@
             config.discovery,
             config.known.revision,
             # Guard: a discovery that has gone silent must be noticed before the node counts as told.
-            min(LONGEST_WATCH_MS, config.ask_within_ms * WATCH_SHARE),
+            min(api.WATCH_WAIT_MS, config.ask_within_ms * WATCH_SHARE),
             not self.settings.ask_discovery,
             self._on_list,
         )
@@ -118,6 +117,9 @@
     def reconfigure(self, config: Config) -> None:
         """Follow a new configuration in what can change while the node runs: where discovery is."""
         self.config = replace(self.config, discovery=config.discovery)
+        # Guard: the end of a pause before the move came during the call after it, and passed for its begin.
+        if pause := self._timers.pop("watch", None):
+            pause.cancel()
         self.watcher.move(config.discovery)
         log.info("%s follows discovery at %s:%d", self.config.name, *config.discovery)
         # The list and the seed are new in every file and only of use to a start.
