Bound the doubling of the watch's pause, which failed after 1,024 failures

Seen: told of 1,025 failed calls in a row (51 minutes and more of a discovery that is down where lists are asked for), the module raised OverflowError: 2.0 ** watch_failures is no float any more. The node's guard then asked every 0.5 s plus the call, with a traceback in the log each time.

Change: ten doublings at most; the pause is bounded far below that. Measured: 2,000 failures in a row, before: OverflowError at the 1,025th; after: each is followed by a pause of 4 s at most and a new watch.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -200,7 +200,8 @@
             # Guard: pauses that didn't look at what the call had taken came on top of a long silent one, and
             # a change was told over 6 s after discovery's return.
             left = api.WATCH_CYCLE_MS - max(api.WATCH_PAUSE_MS, now - asked)
-            wait = min(api.WATCH_PAUSE_MS * 2.0 ** (self.watch_failures - 1), left)
+            # Guard: doubled without end, the pause was no number after 1,024 failures, and the module failed.
+            wait = min(api.WATCH_PAUSE_MS * 2.0 ** min(10, self.watch_failures - 1), left)
             wait = max(api.WATCH_PAUSE_MS, wait) * self.rng.uniform(0.5, 1.0)
             acts.append(api.Wake(wait, "watch"))
             return
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -12,8 +12,10 @@
 from random import Random
 
 import pytest
+from helpers import Bed, kinds
 from loopback import config, listing, reply
 
+from orchidledge import interface as api
 from orchidledge.net import node as node_module
 
 TOLD_S = 5.0  # 6 s bind; a node on a small share of a core needs the rest
@@ -213,3 +215,11 @@
 def test_discovery_is_not_crowded_while_it_is_down(fault):
     """Where it is asked for lists: pauses grow, whatever share of the budget the calls themselves take."""
     assert run(pace("ask", fault)) <= 21.0
+
+
+def test_pauses_bear_a_discovery_that_is_down_for_hours():
+    bed = Bed(count=2, ask_discovery=True)
+    for _ in range(2000):
+        (wake,) = bed.give(api.Membership(api.ListForm.FAILED))
+        assert kinds(bed.give(api.Alarm("watch"), wake.delay_ms)) == [api.Watch]
+    assert 2000.0 <= wake.delay_ms <= 4000.0
