Ask the kernel whether the client has left right before an attempt begins

At fault: Node._send and Attempt._open, which know of a close only by connection_lost, and ServerConnection, which passed the end on a turn after it was read, or never to a client that reads no answer (asyncio then waits).

Ruled out: attempts that open a new connection for a close already there (all passed before: connecting takes turns, and the end is read in the first); an attempt whose connection comes up after on_gone (is over, was tested); a next request, whole or half, that lies unread (POLLIN is not asked for).

Change: Node._wanted polls the caller's socket for POLLRDHUP as an attempt is sent, and once more before one is written to a connection that came up. Who has left is gone at once: Lapsed to the module, the attempt moot. An end that has been read ends the connection's calls in the same turn. Bytes before an end do not matter: nobody waits.

--- a/orchidledge/net/http.py
+++ b/orchidledge/net/http.py
@@ -44,6 +44,13 @@
     return bool(poll.poll(0))
 
 
+def disconnected(transport: asyncio.BaseTransport) -> bool:
+    """Whether the other side has ended its sending or the connection; unread bytes may lie before that."""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)  # bytes alone are no end
+    return bool(poll.poll(0))
+
+
 class ClientConnection(asyncio.Protocol):
     """The calling end of a connection. `on_closed` is told when it is gone."""
 
--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -316,6 +316,15 @@
             self._end(job)
             self.tell(api.Lapsed(job.id))
 
+    def _wanted(self, job: _Job) -> bool:
+        """Whether its client still waits, asked right before an attempt begins."""
+        # Guard: the close of a client that had left lay unread behind other sockets, or behind its request,
+        # and the request was sent on; a late loop comes to it too late. It costs a system call an attempt.
+        if not job.done and job.call.disconnected:
+            self.counts["gone unread"] += 1
+            self._on_gone(job)
+        return not job.done
+
     def _on_backstop(self, job: _Job) -> None:
         # Guard: whatever the module does, the client gets an answer while it still waits.
         if not job.done:
@@ -332,7 +341,7 @@
         over = job is None or job.done or job.give_up_at <= began
         if job is not None:
             job.attempts.append(None)  # a moot send has a number too
-        if job is None or over or number >= self.settings.max_attempts:
+        if job is None or over or number >= self.settings.max_attempts or not self._wanted(job):
             self._outcome(action, number, job, api.Result.MOOT, began)
             return
         left = job.give_up_at - began
@@ -350,6 +359,7 @@
             timeout,
             on_result,
             action.begin_ms / 1000.0 if action.begin_ms > 0.0 else timeout,
+            lambda: self._wanted(job),
         )
         if attempt is None:
             on_result(api.Result.CONNECT_FAILED, None)
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from orchidledge.net.http import MAX_BODY, MAX_HEAD, pending, readable
+from orchidledge.net.http import MAX_BODY, MAX_HEAD, disconnected, pending, readable
 
 READY_PATH = b"/up"
 BACKLOG = 1024
@@ -49,6 +49,10 @@
     answered: bool = False
     on_gone: Callable[[], None] | None = None
 
+    @property
+    def disconnected(self) -> bool:
+        return self.connection.disconnected
+
     def answer(self, status: int, body: bytes = b"", retry_after_ms: float = 0.0) -> None:
         """The final answer; a second one is ignored."""
         if not self.answered:
@@ -88,6 +92,11 @@
         """Whether a part of an answer waits for the caller to read."""
         return self._transport.get_write_buffer_size() > 0
 
+    @property
+    def disconnected(self) -> bool:
+        """Whether its client has left, told of by the event loop or not yet."""
+        return self._transport.is_closing() or disconnected(self._transport)
+
     def close_if_idle(self, strangers_half_read: bool = False) -> bool:
         """Close where no request is open, but not with bytes already waiting in the kernel."""
         half_read = self._partial is not None and (self.known or not strangers_half_read)
@@ -141,13 +150,22 @@
             self._server.stage(self, self._server.waiting)
 
     def eof_received(self) -> bool:
+        self._leave()
+        # Guard: asyncio tells of the loss only once all is written. To a client that reads no answer it never
+        # was, and its later calls went on; so the call is over here, and the connection after a while.
+        if self.unsent:
+            self._server.stage(self, self._server.lingering)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._closing = True
         self._server.closed(self)
         # Guard: parser and connection hold each other; the collector comes for such old pairs hardly ever.
         del self._parser
+        self._leave()
+
+    def _leave(self) -> None:
+        """The client has gone, and with it all its calls."""
+        self._closing = True
         calls, self._calls = self._calls, deque()
         for call in calls:
             call.answered = True
--- a/orchidledge/net/upstream.py
+++ b/orchidledge/net/upstream.py
@@ -43,8 +43,10 @@
         timeout_s: float,
         on_result: Callable[[Result, Response | None], None],
         begin_s: float,
+        wanted: Callable[[], bool],
     ) -> None:
         self._pool = pool
+        self._wanted = wanted
         self._begin_s = begin_s  # within which its first byte leaves, or none does
         self._request = request  # the bytes to send, given the seconds left to wait
         self._on_result = on_result
@@ -106,8 +108,10 @@
             return
         self._connect = None
         server.waiting.discard(self)
-        if self._over:
+        # Guard: clients left in the turns in which a connection came up, and were sent on by a late loop.
+        if self._over or not self._wanted():
             connection.abort()
+            self.cancel()
         else:
             self._write(connection)
 
@@ -177,12 +181,15 @@
         timeout_s: float,
         on_result: Callable[[Result, Response | None], None],
         begin_s: float = math.inf,
+        wanted: Callable[[], bool] = lambda: True,
     ) -> Attempt | None:
-        """Start an attempt; None if no such server is named."""
+        """Start an attempt; None if no such server is named.
+
+        `wanted` is asked once a new connection is up: a request that isn't wanted any more is not written."""
         server = self._servers.get(name)
         if server is None:
             return None
-        attempt = Attempt(self, request, timeout_s, on_result, begin_s)
+        attempt = Attempt(self, request, timeout_s, on_result, begin_s, wanted)
         attempt.begin(server)
         return attempt
 
