Accept a burst within the descriptors also where servers' share is full

Cause: asyncio accepts `backlog` connections in a turn (limit // 20) and closes what makes room for them two turns later, four if their bytes had to be read first: `Server.listen` and `ServerConnection.close_if_idle`. So in a burst 3 to 5 batches have descriptors beside the callers' limit, and with the servers' share used up too, 0.58 + 0.35 + 5 / 20 * 0.58 of the usable ones were more than there are. asyncio then stops accepting for 1 s, again and again.

Seen on a real node process held to its own limit by RLIMIT_NOFILE, idle clients in bursts of 1000 with the servers' share full: "out of system resource" 25 times at 768 descriptors, 101 times at 1024; at 256 with half requests as well. Ruled out: the watcher's own connect (it is tried again every 0.5 s and got through in 0.01 to 0.5 s), servers' connections closed a turn late (their close runs before the next opens).

Change: one in 50 of the limit a turn, so that six turns' accepts fit in the 7% that neither share takes.

Of the seven new cases the four with a full servers' share fail without it; the other three hold untouched.

--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -22,6 +22,7 @@
 SPARED_S = 2.0  # of which it is spared where room is short and no request waits for it
 LINGER_S = 0.5  # how long what a caller still sends after a fatal answer is read and dropped
 SWEEP_S = 0.1
+ACCEPT_PART = 50  # one in so many of the limit is accepted in a turn of the loop, at most
 LOOKED_AT = 16  # connections that are looked at, at most, to make room for one
 PIPELINE = 32  # whole requests that may wait on one connection
 
@@ -279,6 +280,7 @@
     def __init__(self, limit: int, on_call: Callable[[Call], None]) -> None:
         self.loop = asyncio.get_running_loop()
         self.limit = limit
+        self.batch = max(1, limit // ACCEPT_PART)  # connections accepted in one turn of the loop
         self.on_call = on_call
         self.ready = False
         self.stopping = False
@@ -301,10 +303,11 @@
 
     async def listen(self, host: str, port: int) -> None:
         raw = socket.create_server((host, port))
-        # Guard: asyncio accepts as many as its `backlog` before it looks at any, and closed ones go a turn or
-        # two later: a small one keeps a burst within the descriptors. The kernel's queue is then made long.
+        # Guard: asyncio accepts as many as its `backlog` before it looks at any, and two turns more before
+        # what made room for them is closed: so much of a burst has a descriptor beside the connections
+        # counted here, and it ran out of them. The kernel's queue is made long instead.
         self._listener = await self.loop.create_server(
-            lambda: ServerConnection(self), sock=raw, backlog=max(1, self.limit // 20)
+            lambda: ServerConnection(self), sock=raw, backlog=self.batch
         )
         raw.listen(BACKLOG)
         self._sweep()
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,215 @@
+"""Idle clients fill the descriptors while discovery is down; the node takes the list when that is back."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import orjson
+import pytest
+from loopback import (
+    Caller,
+    Held,
+    Message,
+    Peer,
+    config_row,
+    listing,
+    request,
+    targets,
+    until,
+)
+
+from orchidledge.net.node import INBOUND_SHARE, SPARE_SOCKETS, UPSTREAM_SHARE
+
+ROOT = Path(__file__).parent.parent
+UP = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
+HALF = b"GET /read/1 HTTP/1.1\r\nReq-Id: half\r\n"
+BURST = 500  # idle clients that connect between two turns of the node's loop: the kernel takes 1024
+ROUNDS = 3
+AGAIN = 150  # of them come again and again, more than the smallest limit has room for
+
+
+@pytest.fixture(autouse=True)
+def _room_for_clients() -> Iterator[None]:
+    """The clients are this process's; only the node is held to few descriptors."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(hard, 8192)), hard))
+    yield
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+class Outage:
+    """Discovery's address while it is down: it refuses, lets connections hang, or takes them and is mute."""
+
+    def __init__(self, kind: str) -> None:
+        self.socket = socket.socket()
+        self.socket.bind(("127.0.0.1", 0))
+        self.held: list[socket.socket] = []
+        if kind != "refuses":
+            self.socket.listen(0 if kind == "hangs" else 100)
+        if kind == "hangs":  # a full queue: what comes next never comes up
+            self.held = [_connect(self.socket.getsockname()) for _ in range(4)]
+
+    async def end(self, discovery: Peer) -> asyncio.Server:
+        for held in self.held:
+            held.close()
+        self.socket.setblocking(False)
+        return await asyncio.start_server(discovery._serve, sock=self.socket)
+
+
+class Idle:
+    """Clients that connect and say nothing more than `says`; `again`: anew, as soon as they are closed."""
+
+    def __init__(self, address: tuple[str, int], says: bytes) -> None:
+        self.address, self.says = address, says
+        self.sockets: list[socket.socket] = []
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def burst(self) -> None:
+        new = [_connect(self.address) for _ in range(BURST)]
+        for one in new:
+            with contextlib.suppress(OSError):
+                one.send(self.says)
+        self.sockets += new
+
+    def again(self) -> None:
+        self.tasks = [asyncio.create_task(self._again()) for _ in range(AGAIN)]
+
+    async def _again(self) -> None:
+        while True:
+            with contextlib.suppress(OSError):
+                reader, writer = await asyncio.open_connection(*self.address)
+                writer.write(self.says)
+                await reader.read()
+                writer.close()
+            await asyncio.sleep(0)
+
+    def stop(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        for one in self.sockets:
+            one.close()
+
+
+def _connect(address: tuple[str, int]) -> socket.socket:
+    one = socket.socket()
+    one.setblocking(False)
+    one.connect_ex(address)
+    return one
+
+
+async def _connected(address: tuple[str, int]) -> Caller:
+    return Caller(*await asyncio.open_connection(*address))
+
+
+async def _ask(address: tuple[str, int], data: bytes) -> Message:
+    """As a client does: once more on a new connection where the node closed one unread."""
+    while True:
+        one = socket.socket()
+        one.setblocking(False)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await asyncio.get_running_loop().sock_connect(one, address)
+            one.send(data)
+            caller = Caller(*await asyncio.open_connection(sock=one))
+            try:
+                return await caller.answer()
+            finally:
+                caller.writer.close()
+        one.close()
+        await asyncio.sleep(0.005)
+
+
+def start(path: Path, descriptors: int) -> subprocess.Popen[str]:
+    """The real node, in a process that may hold no more descriptors than its configuration says."""
+    program = ["/bin/sh", "-c", f'ulimit -S -n {descriptors}; exec "$0" -m orchidledge', sys.executable]
+    environment = os.environ | {"PROXY_CONFIG": str(path)}
+    return subprocess.Popen(program, cwd=ROOT, env=environment, stderr=subprocess.PIPE, text=True)
+
+
+@pytest.mark.parametrize(
+    ("descriptors", "outage", "says", "before", "again"),
+    [
+        (256, "refuses", b"", None, False),
+        (256, "hangs", b"", None, True),
+        (256, "is mute", HALF, None, False),
+        (256, "refuses", HALF, "busy", False),
+        (768, "is mute", b"", "busy", False),
+        (1024, "refuses", b"", "busy", False),
+        (1024, "hangs", HALF, "busy", True),
+    ],
+)
+def test_idle_clients_leave_a_descriptor_for_discovery_and_servers(
+    tmp_path, descriptors, outage, says, before, again
+):
+    """`busy`: requests held open fill the callers' and the servers' share when the idle ones come."""
+
+    async def news(message: Message) -> bytes:
+        if "since=1&" not in message.first[1]:
+            await asyncio.Event().wait()
+        return listing(2, True, new=(new.endpoint, "Ready"))
+
+    new, old, discovery, down = Peer(), Held(), Peer(news), Outage(outage)
+
+    async def main() -> str:
+        await new.start()
+        await old.start()
+        usable = descriptors - SPARE_SOCKETS
+        inbound, upstream = int(usable * INBOUND_SHARE), int(usable * UPSTREAM_SHARE)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            address = free.getsockname()
+        row = config_row(
+            "{}:{}".format(*down.socket.getsockname()),
+            known=targets(**{f"old{at}": (old.endpoint, "Ready") for at in range(upstream + 50)}),
+            limits={"sockets": descriptors},
+            bounds={"maxOpen": 2000, "connectTimeoutMs": 30000.0},
+            settings={"registryMode": "push"},
+        )
+        row["listen"] = "{}:{}".format(*address)
+        path = tmp_path / "config.json"
+        path.write_bytes(orjson.dumps(row))
+        program = start(path, descriptors)
+        idle = Idle(address, says)
+        try:
+            async with asyncio.timeout(60):
+                assert (await _ask(address, UP)).status == 200
+                holders = []
+                for at in range(inbound - 2 if before == "busy" else 0):
+                    holders.append(await _connected(address))
+                    holders[-1].writer.write(request(name=f"held{at}"))
+                await until(lambda: not holders or old.connections >= upstream)
+                for _ in range(ROUNDS):
+                    program.send_signal(signal.SIGSTOP)
+                    idle.burst()
+                    program.send_signal(signal.SIGCONT)
+                    await _ask(address, UP)  # the last in the queue: all before it have been accepted
+                if again:
+                    idle.again()
+                server = await down.end(discovery)
+                await until(lambda: any("since=2&" in message.first[1] for message in discovery.seen))
+                old.release.set()
+                for holder in holders:
+                    assert (await holder.answer()).status in (200, 503)
+                for caller in holders:
+                    caller.writer.close()
+                assert (await _ask(address, request(name="real"))).status == 200
+                assert [message.headers["req-id"] for message in new.seen] == ["real"]
+                server.close()
+        finally:
+            idle.stop()
+            program.kill()
+            _, said = await asyncio.to_thread(program.communicate)
+            for peer in (new, old):
+                peer.stop()
+        return said
+
+    said = asyncio.run(main())
+    assert "out of system resource" not in said  # asyncio's word for an accept that found no descriptor
+    assert "Too many open files" not in said
