Find strangers to close behind callers that are slow to write

Cause: to make room, `Server._close_one` looks at the 16 connections that have owed a request for longest, those of callers that asked before among them, which it spares. 32 of these, each in the middle of a request, hid all idle strangers behind them: nothing was closed and the node accepted until it had no descriptor, at a limit of 256.

Change: it looks at the 16 oldest strangers. The new case (slow) fails without it with asyncio's "out of system resource" and passes with it.

--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -370,8 +370,10 @@
             if not connection.unsent:
                 connection.abort()
                 return True
-        for connection in islice(self.waiting, LOOKED_AT):
-            if not connection.known and connection.close_if_idle(strangers_half_read=True):
+        # Guard: a few callers that had asked before and wrote slowly hid all the strangers behind them.
+        strangers = (connection for connection in self.waiting if not connection.known)
+        for connection in islice(strangers, LOOKED_AT):
+            if connection.close_if_idle(strangers_half_read=True):
                 return True
         spared = self.loop.time() - spared_s
         for connection in islice(self.idle, LOOKED_AT):
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -28,6 +28,7 @@
 )
 
 from orchidledge.net.node import INBOUND_SHARE, SPARE_SOCKETS, UPSTREAM_SHARE
+from orchidledge.net.server import LOOKED_AT
 
 ROOT = Path(__file__).parent.parent
 UP = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -141,6 +142,7 @@
         (256, "hangs", b"", None, True),
         (256, "is mute", HALF, None, False),
         (256, "refuses", HALF, "busy", False),
+        (256, "is mute", b"", "slow", False),
         (768, "is mute", b"", "busy", False),
         (1024, "refuses", b"", "busy", False),
         (1024, "hangs", HALF, "busy", True),
@@ -149,7 +151,10 @@
 def test_idle_clients_leave_a_descriptor_for_discovery_and_servers(
     tmp_path, descriptors, outage, says, before, again
 ):
-    """`busy`: requests held open fill the callers' and the servers' share when the idle ones come."""
+    """`busy`: requests held open fill the callers' and the servers' share when the idle ones come.
+
+    `slow`: some that have asked before are in the middle of a request then.
+    """
 
     async def news(message: Message) -> bytes:
         if "since=1&" not in message.first[1]:
@@ -185,6 +190,10 @@
                     holders.append(await _connected(address))
                     holders[-1].writer.write(request(name=f"held{at}"))
                 await until(lambda: not holders or old.connections >= upstream)
+                slow = [await _connected(address) for _ in range(2 * LOOKED_AT if before == "slow" else 0)]
+                for caller in slow:
+                    assert (await caller.ask(UP)).status == 200
+                    caller.writer.write(HALF)
                 for _ in range(ROUNDS):
                     program.send_signal(signal.SIGSTOP)
                     idle.burst()
@@ -197,7 +206,7 @@
                 old.release.set()
                 for holder in holders:
                     assert (await holder.answer()).status in (200, 503)
-                for caller in holders:
+                for caller in (*holders, *slow):
                     caller.writer.close()
                 assert (await _ask(address, request(name="real"))).status == 200
                 assert [message.headers["req-id"] for message in new.seen] == ["real"]
