Shut a new connection unread where none over the limit can be closed

Cause: a stranger's connection is not closed while bytes wait on it, and `Server.opened` accepted all the same: with callers that write in every turn of the loop, 500 new connections stood open over a limit of 67, every one that came. Nothing bounded them but the process's descriptors.

The new case fails without it.

--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -22,7 +22,8 @@
 SPARED_S = 2.0  # of which it is spared where room is short and no request waits for it
 LINGER_S = 0.5  # how long what a caller still sends after a fatal answer is read and dropped
 SWEEP_S = 0.1
-ACCEPT_PART = 50  # one in so many of the limit is accepted in a turn of the loop, at most
+ACCEPT_PART = 50  # one in so many of the limit is accepted in a turn of the loop, at most;
+EXCESS_TURNS = 3  # as many as these turns bring may be held over the limit, where none can be closed
 LOOKED_AT = 16  # connections that are looked at, at most, to make room for one
 PIPELINE = 32  # whole requests that may wait on one connection
 
@@ -314,8 +315,12 @@
 
     def opened(self, connection: ServerConnection) -> None:
         self.connections[connection] = None
-        self.make_room()  # Guard: accepting never stops
-        self.stage(connection, self.waiting)
+        # Guard: accepting never stops. Where all that could be closed had bytes waiting to be read, it went
+        # on until no descriptor was left for discovery.
+        if not self.make_room() and len(self.connections) > self.limit + EXCESS_TURNS * self.batch:
+            connection.abort()
+        else:
+            self.stage(connection, self.waiting)
 
     def closed(self, connection: ServerConnection) -> None:
         self.stage(connection, None)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -23,12 +23,14 @@
     config_row,
     listing,
     request,
+    running,
     targets,
     until,
 )
 
+from orchidledge.net.http import pending
 from orchidledge.net.node import INBOUND_SHARE, SPARE_SOCKETS, UPSTREAM_SHARE
-from orchidledge.net.server import LOOKED_AT
+from orchidledge.net.server import EXCESS_TURNS, LOOKED_AT
 
 ROOT = Path(__file__).parent.parent
 UP = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -222,3 +224,41 @@
     said = asyncio.run(main())
     assert "out of system resource" not in said  # asyncio's word for an accept that found no descriptor
     assert "Too many open files" not in said
+
+
+def test_strangers_that_never_stop_writing_do_not_let_the_connections_grow():
+    """Where bytes wait on every connection that could be closed, a new one is shut unread."""
+
+    async def main():
+        async with running(Peer(), limits={"sockets": 132}) as node:
+            loop, address = asyncio.get_running_loop(), node.server.address
+            writing = [await _connected(address) for _ in range(node.server.limit)]
+            raw = [caller.writer.get_extra_info("socket").dup() for caller in writing]
+            for one in raw:
+                one.send(HALF + b"X-Slow: ")
+            await until(lambda: len(node.server.connections) == node.server.limit)
+
+            def write() -> None:  # in every turn, so that bytes wait whenever the node looks
+                nonlocal turn, most
+                turn = loop.call_soon(write)
+                most = max(most, len(node.server.connections))
+                for one in raw:
+                    with contextlib.suppress(OSError):
+                        one.send(b"y")
+
+            turn, most = loop.call_soon(write), 0
+            idle = Idle(address, b"")
+            idle.burst()
+            await until(
+                lambda: most > node.server.limit and not pending(node.server._listener.sockets[0].fileno())
+            )
+            turn.cancel()
+            idle.stop()
+            for one in raw:
+                one.close()
+            for caller in writing:
+                caller.writer.close()
+            return most - node.server.limit, EXCESS_TURNS * node.server.batch
+
+    most, allowed = asyncio.run(main())
+    assert most == allowed
