--- a/scale/start.py
+++ b/scale/start.py
@@ -1,4 +1,4 @@
-"""A node's start in processor time, part by part: `python scale/start.py [other checkout ...]`.
+"""A node's start in processor time, part by part: `python -m scale.start [other checkout ...]`.
 
 A start on the operators' bench lasts its processor time divided by the node's share of a core, so the last
 column is the share under which one in ten would not be ready in 10 s. Other checkouts are started in turn.
@@ -71,8 +71,8 @@
         used: dict[tuple[str, Path], list[float]] = {(name, root): [] for name in STEPS for root in roots}
         for _ in range(RUNS):
             for (name, root), times in used.items():
-                servers = name.split()[1] if name.startswith("ready") else "13"
-                times.append(processor_s(STEPS[name], root, f"{folder}/{servers}.json"))
+                known = name.split()[1] if name.startswith("ready") else "13"
+                times.append(processor_s(STEPS[name], root, f"{folder}/{known}.json"))
     print(f"{'processor time, ms':30} {'least':>7} {'median':>7} {'9 in 10':>7}  share for {READY_S:.0f} s")
     for (name, root), times in used.items():
         times.sort()
--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,72 @@
+"""What one turn of the node's loop may cost: it grows in proportion, counted in calls, not in time."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import orjson
+import pytest
+from loopback import Discovery, config, listing, targets
+
+from orchidledge import interface as api
+from orchidledge.net.discovery import MAX_LIST, parse_listing
+from orchidledge.net.http import ClientConnection, Response
+from orchidledge.net.node import Node
+
+SERVERS = 250
+FACTOR = 8
+
+
+class _Taken:
+    """Takes the answer of a discovery call."""
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+
+    def answered(self, response: Response) -> None:
+        self.node._on_list(api.ListForm.FULL, parse_listing(orjson.loads(response.body)))
+
+    def lost(self, written: bool) -> None:
+        raise AssertionError
+
+
+async def calls(servers: int, pieces: int) -> int:
+    """Calls, Python's and C's, to take a list that replaces every server, in pieces of so many bytes."""
+    known, new = (
+        {f"{name}{at}": (f"127.0.0.1:{port}", "Ready") for at in range(servers)}
+        for name, port in (("old", 9), ("new", 10))
+    )
+    node = Node(config("127.0.0.1:1", known=targets(**known)))
+    node._on_list(api.ListForm.CACHED, node.config.known)
+    data, count = listing(2, True, **new), 0
+    discovery = await Discovery().start()
+    transport, connection = await asyncio.get_running_loop().create_connection(
+        lambda: ClientConnection(lambda _: None, MAX_LIST), "127.0.0.1", discovery.port
+    )
+    connection.start(b"GET / HTTP/1.1\r\n\r\n", _Taken(node))
+
+    def counted(_frame: object, event: str, _arg: object) -> None:
+        nonlocal count
+        count += event in ("call", "c_call")
+
+    sys.setprofile(counted)
+    try:
+        for at in range(0, len(data), pieces):
+            connection.data_received(data[at : at + pieces])
+    finally:
+        sys.setprofile(None)
+    assert node.up == set(new)
+    transport.abort()
+    node.close()
+    discovery.stop()
+    return count
+
+
+@pytest.mark.parametrize("pieces", [64, 1400, MAX_LIST])
+def test_a_list_costs_in_proportion_to_its_length(pieces):
+    async def main() -> tuple[int, int]:
+        return await calls(SERVERS, pieces), await calls(FACTOR * SERVERS, pieces)
+
+    short, long = asyncio.run(main())
+    assert long < 1.25 * FACTOR * short
