--- a/scale/start.py
+++ b/scale/start.py
@@ -1,4 +1,4 @@
-"""A node's start in processor time, part by part: `python scale/start.py [other checkout ...]`.
+"""A node's start in processor time, part by part: `python -m scale.start [other checkout ...]`.
 
 A start on the operators' bench lasts its processor time divided by the node's share of a core, so the last
 column is the share under which one in ten would not be ready in 10 s. Other checkouts are started in turn.
