--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,449 @@
+"""A small seeded model of a fleet in model time: balancers, servers with cores and queues, clients.
+
+It runs the decision module itself and counts what servers in slow start get against what the settings
+allow. `python tests/fleet.py` prints the tables of docs/slow-start.md; `tests/test_slow_start.py` runs the
+short form.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import itertools
+import math
+import sys
+from bisect import bisect_right
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from random import Random
+from typing import Any
+
+if __name__ == "__main__":
+    sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from orchidledge import interface as api
+from orchidledge.brain import Balancer
+
+WORK_MS = {"read": 80.0, "post": 120.0, "amend": 200.0}  # mean work, on a standard core
+SHARE = {"read": 0.37, "post": 0.35, "amend": 0.28}
+MEAN_MS = sum(WORK_MS[name] * SHARE[name] for name in WORK_MS)
+CLASSES = (
+    api.ServiceClass("read", aim_ms=1500, give_up_ms=4000, worth=3, effect=api.Effect.SAFE),
+    api.ServiceClass("post", aim_ms=2500, give_up_ms=6000, worth=8, effect=api.Effect.UNSAFE),
+    api.ServiceClass(
+        "amend", aim_ms=2500, give_up_ms=6000, worth=2, effect=api.Effect.KEYED, memory_ms=10000
+    ),
+)
+CORES, SLOTS, QUEUE = 2, 14, 16  # a server's cores; what it holds in work and waiting, a core
+SPEEDS = (2.0, 1.2, 0.8)  # a core's, by kind
+THRASH_AT = 24.0  # requests held a core from which a server loses speed,
+THRASH = 0.18  # this much for each such multiple
+HOP_MS = 0.4
+REPORT_MS = 200.0  # a load report's age at the most
+COLD_FROM, COLD_MS, FACTOR, TIP_MS = 0.12, 23000.0, 2.5, 1500.0
+STEP_MS = 100.0  # between the ends of two windows
+
+
+@dataclass(frozen=True)
+class Plan:
+    """One run. The servers that start cold do so at `start_ms`."""
+
+    nodes: int
+    servers: int = 20
+    load: float = 0.6  # of what all servers can do warm
+    cold: float = 0.1  # share of the servers that start cold
+    restart: bool = False  # the same servers come back, after a second; else others take their place
+    burst: float = 1.0  # the load's multiple from the start on, for 3 s
+    uneven: float = 0.0  # spread of the nodes' traffic (sigma of a lognormal)
+    tries: int = 1  # a client's, in all
+    wait_ms: float = 0.0  # before each further one
+    errors: float = 0.001  # share of attempts that a server answers with an error
+    sick: float = 0.0  # share of the warm servers that turn four times slower at the start
+    late_ms: tuple[float, float] = (400.0, 2500.0)  # within which a node is told of a change
+    start_ms: float = 4000.0
+    seconds: float = 12.0
+    warm_all: bool = False  # nobody starts cold: the service that there is without
+    cfg: dict[str, Any] = field(default_factory=dict)
+
+    def settings(self) -> api.Settings:
+        given: dict[str, Any] = {
+            "classes": CLASSES, "siblings": self.nodes, "report_fields": ("eps", "inflight"),
+            "may_cancel": True, "retry_after": True, "max_retry_after_ms": 2000.0, "max_attempts": 4,
+            "sized": True, "cold_from": COLD_FROM, "cold_ms": COLD_MS, "overload_factor": FACTOR,
+        }  # fmt: skip
+        return api.Settings(**{**given, **self.cfg})
+
+
+@dataclass(slots=True)
+class _Backend:
+    address: str
+    speed: float
+    launched_ms: float | None = None
+    up: bool = True
+    sick: float = 1.0
+    busy: int = 0
+    waiting: deque[_Attempt] = field(default_factory=deque)
+    epoch: int = 0  # one more after each restart
+    report: tuple[float, int] = (-math.inf, 0)
+    got: list[tuple[float, float, bool]] = field(default_factory=list)  # when, requests of mean work, told
+
+    def share(self, now: float) -> float:
+        """Of what it can do warm."""
+        if self.launched_ms is None:
+            return 1.0
+        return min(1.0, COLD_FROM + (1.0 - COLD_FROM) * max(0.0, now - self.launched_ms) / COLD_MS)
+
+    def can_do(self, end: float) -> float:
+        """Requests of mean work in the window up to then, by its share at the window's middle."""
+        middle = max(end - TIP_MS / 2.0, self.launched_ms or 0.0)
+        return CORES * self.speed * self.share(middle) * TIP_MS / MEAN_MS
+
+    def held(self) -> int:
+        return self.busy + len(self.waiting)
+
+    def line(self, state: api.ServerState = api.ServerState.UP) -> api.Server:
+        return api.Server(self.address, launched_ms=self.launched_ms, size=self.speed, state=state)
+
+
+@dataclass(slots=True)
+class _Client:
+    """One first try and those that follow it."""
+
+    service: str
+    born_ms: float
+    work_ms: float
+    tries: int = 0
+    end: str = ""  # how the last try ended
+    served_ms: float = math.inf
+    counts: bool = True
+
+
+@dataclass(slots=True)
+class _Attempt:
+    node: int
+    id: str
+    number: int
+    backend: _Backend
+    sent_ms: float
+    client: _Client
+    open: bool = True  # no outcome yet
+
+
+@dataclass
+class Figures:
+    windows: int = 0
+    crowded: int = 0  # those with more requests than allowed, each taken as mean work
+    breaches: int = 0  # those with more work than allowed
+    untold: int = 0  # windows as full, of which a third and more came from nodes that had not been told
+    peak: float = (
+        0.0  # the most requests in a window, as a share of what is allowed with the slack for chance
+    )
+    asked: int = 0
+    served: float = 0.0  # in time, as a share of first tries after the start
+    refused: float = 0.0  # first tries that ended without an answer in time
+    given: float = 0.0  # to the cold ones, as a share of what the settings allow
+    sends: float = 0.0  # attempts a first try
+
+
+class Fleet:
+    def __init__(self, plan: Plan, seed: int) -> None:
+        self.plan, self.rng = plan, Random(seed)
+        self.now = 0.0
+        self.events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.order = itertools.count()
+        self.backends = {
+            name: _Backend(name, SPEEDS[at % len(SPEEDS)])
+            for at, name in enumerate(f"s{at}" for at in range(plan.servers))
+        }
+        self.first = list(self.backends.values())
+        self.capacity = CORES * sum(backend.speed for backend in self.first) / MEAN_MS  # requests a ms
+        rows = tuple(backend.line() for backend in self.first)
+        self.nodes = [Balancer(plan.settings(), self.rng.getrandbits(32), 0.0) for _ in range(plan.nodes)]
+        spread = (math.exp(self.rng.gauss(0.0, plan.uneven)) for _ in self.nodes)
+        self.weights = list(itertools.accumulate(spread))
+        self.told = [False] * plan.nodes  # of the servers that start cold
+        self.calls: dict[str, tuple[_Client, list[_Attempt]]] = {}
+        self.names = itertools.count()
+        self.clients: list[_Client] = []
+        self.sends = 0
+        self.cold: list[_Backend] = []
+        for at in range(plan.nodes):
+            self.after(self.rng.uniform(0.0, 200.0), self.give, at, api.Membership(api.ListForm.CACHED, rows))
+        self.after(0.0, self.arrive)
+        self.after(plan.start_ms, self.start)
+
+    def after(self, delay: float, what: Callable[..., None], *args: Any) -> None:
+        heapq.heappush(self.events, (self.now + delay, next(self.order), what, args))
+
+    def run(self) -> Figures:
+        end = self.plan.seconds * 1000.0
+        while self.events and self.events[0][0] < end:
+            self.now, _, what, args = heapq.heappop(self.events)
+            what(*args)
+        return self.figures(end)
+
+    # ---------------------------------------------------------------- clients
+
+    def arrive(self) -> None:
+        plan = self.plan
+        rate = self.capacity * plan.load
+        if plan.start_ms <= self.now < plan.start_ms + 3000.0:
+            rate *= plan.burst
+        service = self.rng.choices(list(SHARE), list(SHARE.values()))[0]
+        work = max(1.0, self.rng.expovariate(1.0 / WORK_MS[service]))
+        client = _Client(service, self.now, work)
+        client.counts = self.now >= plan.start_ms
+        self.clients.append(client)
+        self.ask(client)
+        self.after(self.rng.expovariate(rate), self.arrive)
+
+    def ask(self, client: _Client) -> None:
+        client.tries += 1
+        kind = next(kind for kind in CLASSES if kind.name == client.service)
+        left = client.born_ms + kind.give_up_ms - self.now
+        if left <= 1.0:
+            return
+        name = f"q{next(self.names)}"
+        node = self.rng.choices(range(self.plan.nodes), cum_weights=self.weights)[0]
+        self.calls[name] = (client, [])
+        self.give(node, api.Request(name, client.service, self.now + min(left, 0.53 * kind.give_up_ms)))
+
+    def answered(self, name: str, how: str) -> None:
+        client, _ = self.calls[name]
+        client.end = how
+        if how == "ok":
+            client.served_ms = min(client.served_ms, self.now)
+            return
+        again = how == "refused" or client.service != "post"  # a failure may have run
+        if again and client.tries < self.plan.tries:
+            self.after(self.plan.wait_ms + 0.5, self.ask, client)
+
+    # ------------------------------------------------------------------ nodes
+
+    def give(self, node: int, event: api.Event) -> None:
+        for act in self.nodes[node].handle(self.now, event):
+            if isinstance(act, api.Send):
+                self.send(node, act)
+            elif isinstance(act, api.Refuse | api.Fail):
+                self.answered(act.id, "refused" if isinstance(act, api.Refuse) else "failed")
+            elif isinstance(act, api.Cancel):
+                self.after(
+                    0.0, self.outcome, self.calls[act.id][1][act.attempt], api.Result.CANCELLED, True, None
+                )
+            elif isinstance(act, api.Wake):
+                self.after(act.delay_ms, self.give, node, api.Alarm(act.name))
+
+    def send(self, node: int, act: api.Send) -> None:
+        client, attempts = self.calls[act.id]
+        attempt = _Attempt(node, act.id, len(attempts), self.backends[act.server], self.now, client)
+        attempts.append(attempt)
+        self.sends += client.counts
+        self.after(HOP_MS, self.reach, attempt)
+        self.after(act.timeout_ms, self.outcome, attempt, api.Result.TIMEOUT, False, None)
+
+    def outcome(self, attempt: _Attempt, result: api.Result, done: bool, report: dict | None) -> None:
+        if not attempt.open:
+            return
+        attempt.open = False
+        if result is api.Result.OK:
+            self.answered(attempt.id, "ok")
+        self.give(
+            attempt.node,
+            api.Outcome(
+                attempt.id, attempt.number, attempt.backend.address, result,
+                self.now - attempt.sent_ms, done, report,
+            ),
+        )  # fmt: skip
+
+    # ---------------------------------------------------------------- servers
+
+    def reach(self, attempt: _Attempt) -> None:
+        backend = attempt.backend
+        if not backend.up:
+            self.after(HOP_MS, self.outcome, attempt, api.Result.CONNECT_FAILED, False, None)
+            return
+        backend.got.append((self.now, attempt.client.work_ms / MEAN_MS, self.told[attempt.node]))
+        if backend.held() >= CORES * (SLOTS + QUEUE):
+            self.after(HOP_MS, self.outcome, attempt, api.Result.FULL, False, self.reported(backend))
+        elif backend.busy < CORES:
+            self.work(attempt)
+        else:
+            backend.waiting.append(attempt)
+
+    def work(self, attempt: _Attempt) -> None:
+        backend = attempt.backend
+        backend.busy += 1
+        crowd = max(0.0, backend.held() / CORES / THRASH_AT - 1.0)
+        speed = backend.speed * backend.share(self.now) / backend.sick / (1.0 + THRASH * crowd)
+        self.after(attempt.client.work_ms / speed, self.finish, attempt, backend.epoch)
+
+    def finish(self, attempt: _Attempt, epoch: int) -> None:
+        backend = attempt.backend
+        if epoch != backend.epoch:
+            return
+        backend.busy -= 1
+        if backend.waiting:
+            self.work(backend.waiting.popleft())
+        good = self.rng.random() >= self.plan.errors
+        result = api.Result.OK if good else api.Result.ERROR
+        self.after(HOP_MS, self.outcome, attempt, result, good, self.reported(backend))
+
+    def reported(self, backend: _Backend) -> dict[str, float]:
+        if self.now - backend.report[0] > REPORT_MS:
+            backend.report = (self.now, backend.held())
+        return {"eps": 0.0, "inflight": float(backend.report[1])}
+
+    def start(self) -> None:
+        """Some servers start cold: others in their place, or themselves again after a second."""
+        plan = self.plan
+        count = 0 if plan.warm_all else max(1, round(plan.cold * plan.servers))
+        hit = self.rng.sample(self.first, count)
+        rest = [backend for backend in self.first if backend not in hit]
+        for backend in self.rng.sample(rest, round(plan.sick * len(rest))):
+            backend.sick = 4.0
+        if plan.restart:
+            for backend in hit:
+                backend.up, backend.busy, backend.epoch = False, 0, backend.epoch + 1
+                backend.waiting.clear()
+            for attempt in [item for _, tries in self.calls.values() for item in tries if item.open]:
+                if attempt.backend in hit:
+                    self.after(HOP_MS, self.outcome, attempt, api.Result.RESET, False, None)
+            self.after(1000.0, self.back, hit, [])
+            return
+        fresh = [_Backend("n" + backend.address, backend.speed) for backend in hit]
+        self.backends.update({backend.address: backend for backend in fresh})
+        self.back(fresh, hit)
+
+    def back(self, cold: list[_Backend], gone: list[_Backend]) -> None:
+        self.cold = cold
+        for backend in cold:
+            backend.up, backend.launched_ms = True, self.now
+            backend.got.clear()
+        rows = tuple(backend.line() for backend in cold)
+        rows += tuple(backend.line(api.ServerState.REMOVED) for backend in gone)
+        for at in range(self.plan.nodes):
+            self.after(self.rng.uniform(*self.plan.late_ms), self.tell, at, rows)
+
+    def tell(self, node: int, rows: tuple[api.Server, ...]) -> None:
+        self.told[node] = True
+        self.give(node, api.Membership(api.ListForm.DELTA, rows))
+
+    # ---------------------------------------------------------------- figures
+
+    def windows(self, end: float) -> Iterator[tuple[int, float, float, float]]:
+        """Of each cold server each window: requests, the same by work, allowed, share from told nodes."""
+        for backend in self.cold:
+            times = [when for when, _, _ in backend.got]
+            work = [0.0, *itertools.accumulate(size for _, size, _ in backend.got)]
+            told = [0.0, *itertools.accumulate(size * known for _, size, known in backend.got)]
+            launched = backend.launched_ms or 0.0
+            at = launched + STEP_MS  # work that comes in the first moments can spend the whole budget
+            while at < end:
+                low, high = bisect_right(times, at - TIP_MS), bisect_right(times, at)
+                got = work[high] - work[low]
+                known = (told[high] - told[low]) / got if got else 1.0
+                yield high - low, got, FACTOR * backend.can_do(at), known
+                at += STEP_MS
+
+    def figures(self, end: float) -> Figures:
+        out = Figures()
+        got_sum = allowed_sum = 0.0
+        for count, got, allowed, told in self.windows(end):
+            out.windows += 1
+            got_sum, allowed_sum = got_sum + got, allowed_sum + allowed
+            most = allowed + 2.0 * math.sqrt(allowed) + 2.0
+            if told >= 2.0 / 3.0:
+                out.peak = max(out.peak, count / most)
+                out.crowded += count > most
+            if got > most:
+                out.breaches += told >= 2.0 / 3.0
+                out.untold += told < 2.0 / 3.0
+        aims = {kind.name: kind.aim_ms for kind in CLASSES}
+        over = [item for item in self.clients if item.counts and item.born_ms < end - 2500.0]
+        good = sum(item.served_ms - item.born_ms <= aims[item.service] for item in over)
+        out.asked = len(over)
+        out.served = good / max(1, len(over))
+        out.refused = sum(item.served_ms == math.inf and item.end == "refused" for item in over) / max(
+            1, len(over)
+        )
+        out.given = got_sum / allowed_sum if allowed_sum else 0.0
+        out.sends = self.sends / max(1, sum(item.counts for item in self.clients))
+        return out
+
+
+def play(plan: Plan, seed: int) -> Figures:
+    return Fleet(plan, seed).run()
+
+
+TROUBLES: dict[str, dict[str, Any]] = {
+    "steady": {},
+    "burst": {"load": 0.7, "burst": 2.0, "cold": 0.2},
+    "retries": {"load": 0.9, "cold": 0.3, "tries": 5, "wait_ms": 50.0, "errors": 0.05, "sick": 0.3},
+    "uneven": {"load": 0.7, "cold": 0.3, "uneven": 1.2, "tries": 4, "wait_ms": 200.0},
+    "restart": {"load": 0.7, "cold": 0.6, "restart": True, "tries": 4, "wait_ms": 100.0},
+    "most": {"load": 0.6, "cold": 0.9, "tries": 5},
+    "storm": {"load": 0.8, "cold": 0.9, "burst": 1.5, "restart": True, "tries": 5, "uneven": 1.0},
+    "all": {"load": 0.8, "cold": 1.0, "burst": 1.5, "tries": 5},
+}
+NODES = (5, 20, 30, 200)
+
+
+HEAD = "| trouble | nodes | windows | requests | work | untold | fullest | of N | served | refused | sent |"
+
+
+def row(name: str, nodes: int, runs: list[Figures]) -> str:
+    """One line of the tables: breaches per thousand windows, means over the runs."""
+    windows = sum(run.windows for run in runs)
+    rates = [
+        1000.0 * sum(getattr(run, key) for run in runs) / windows for key in ("crowded", "breaches", "untold")
+    ]
+    means = [
+        sum(getattr(run, key) for run in runs) / len(runs) for key in ("given", "served", "refused", "sends")
+    ]
+    cells = [name, str(nodes), str(windows), *[f"{rate:.2f}" for rate in rates]]
+    cells += [f"{max(run.peak for run in runs):.2f}", f"{means[0]:.2f}", f"{means[1]:.3f}", f"{means[2]:.3f}"]
+    return f"| {' | '.join([*cells, f'{means[3]:.2f}'])} |"
+
+
+def chance(allowed: float, share: float, draws: int = 40000) -> tuple[float, float]:
+    """Windows in a thousand that a Poisson stream of this share of N brings over, by requests and by work."""
+    rng = Random(1)
+    most = allowed + 2.0 * math.sqrt(allowed) + 2.0
+    by_count = by_work = 0
+    for _ in range(draws):
+        work, count, left = 0.0, 0, rng.expovariate(1.0)
+        while left < share * allowed:
+            service = rng.choices(list(SHARE), list(SHARE.values()))[0]
+            work, count = work + rng.expovariate(1.0 / WORK_MS[service]) / MEAN_MS, count + 1
+            left += rng.expovariate(1.0)
+        by_count, by_work = by_count + (count > most), by_work + (work > most)
+    return 1000.0 * by_count / draws, 1000.0 * by_work / draws
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=6)
+    parser.add_argument("--servers", type=int, default=20)
+    parser.add_argument("--only", default=",".join(TROUBLES), help="troubles, with commas between them")
+    parser.add_argument("--nodes", type=int, nargs="*", default=NODES)
+    parser.add_argument("--unpaced", action="store_true", help="with the pacing taken out")
+    parser.add_argument("--chance", action="store_true", help="what chance alone brings over")
+    given = parser.parse_args()
+    if given.chance:
+        print("| N | share of N | by requests | by work |\n| --- | --- | --- | --- |")
+        for allowed, share in itertools.product((5.6, 14.0, 40.0), (0.3, 0.4, 0.5, 0.6, 0.85)):
+            print("| {} | {} | {:.2f} | {:.2f} |".format(allowed, share, *chance(allowed, share)))
+        return
+    if given.unpaced:
+        Balancer._paced = lambda *_: True  # type: ignore[method-assign]
+    print(f"{HEAD}\n|{' --- |' * 11}")
+    for name in given.only.split(","):
+        for nodes in given.nodes:
+            plan = replace(Plan(nodes, given.servers), **TROUBLES[name])
+            print(row(name, nodes, [play(plan, seed) for seed in range(given.seeds)]), flush=True)
+
+
+if __name__ == "__main__":
+    main()
