--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -8,7 +8,6 @@
 import time
 from collections import Counter, deque
 from dataclasses import dataclass, field, replace
-from urllib.parse import unquote_to_bytes
 
 from orchidledge import interface as api
 from orchidledge.brain import Balancer
@@ -25,7 +24,7 @@
 BACKSTOP_S = 0.005  # after which a request that the module left unanswered is answered for it
 SPARE_SOCKETS = 16  # for the listener, discovery, standard streams and the event loop
 INBOUND_SHARE = 0.58  # of the other descriptors: callers' connections, lingering ones too;
-UPSTREAM_SHARE = 0.35  # servers'; what is left takes in six turns' accepts, see `ACCEPT_PART`
+UPSTREAM_SHARE = 0.35  # servers'; what is left takes in six turns' accepts, see `EXCESS_TURNS`
 WATCH_SHARE = 0.5  # of the time within which discovery has to be asked
 FAULT_PAUSE_S = 0.5  # before an alarm or a watch is tried again that a fault of the module has lost
 STOP_OPEN_S = 0.6  # after SIGTERM connections still come for up to 0.4 s
@@ -260,11 +259,7 @@
         headers = call.headers
         path = call.target.partition(b"?")[0]
         parts = path.split(b"/")
-        kind = (
-            self.classes.get(unquote_to_bytes(parts[1]).decode("utf-8", "replace"))
-            if len(parts) > 1
-            else None
-        )
+        kind = self.classes.get(_unquoted(parts[1]).decode("utf-8", "replace")) if len(parts) > 1 else None
         if kind is None:
             raise BadRequestError(404)
         if call.method != (b"GET" if kind.effect is api.Effect.SAFE else b"POST"):
@@ -440,6 +435,14 @@
         self._timers["stats"] = self.loop.call_later(STATS_S, self._stats)
 
 
+def _unquoted(name: bytes) -> bytes:
+    if b"%" not in name:
+        return name
+    from urllib.parse import unquote_to_bytes  # hardly ever needed, and dear to a start
+
+    return unquote_to_bytes(name)
+
+
 def _number(headers: dict[bytes, bytes], name: bytes, form: re.Pattern[str]) -> float | None:
     """A header's figure, None without one."""
     text = headers.get(name)
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -19,15 +19,20 @@
     Caller,
     Held,
     Message,
+    Outage,
     Peer,
     config_row,
+    connect,
     listing,
     request,
+    running,
     targets,
     until,
 )
 
+from orchidledge.net.http import pending
 from orchidledge.net.node import INBOUND_SHARE, SPARE_SOCKETS, UPSTREAM_SHARE
+from orchidledge.net.server import EXCESS_TURNS, LOOKED_AT
 
 ROOT = Path(__file__).parent.parent
 UP = b"GET /up HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -46,25 +51,6 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
 
 
-class Outage:
-    """Discovery's address while it is down: it refuses, lets connections hang, or takes them and is mute."""
-
-    def __init__(self, kind: str) -> None:
-        self.socket = socket.socket()
-        self.socket.bind(("127.0.0.1", 0))
-        self.held: list[socket.socket] = []
-        if kind != "refuses":
-            self.socket.listen(0 if kind == "hangs" else 100)
-        if kind == "hangs":  # a full queue: what comes next never comes up
-            self.held = [_connect(self.socket.getsockname()) for _ in range(4)]
-
-    async def end(self, discovery: Peer) -> asyncio.Server:
-        for held in self.held:
-            held.close()
-        self.socket.setblocking(False)
-        return await asyncio.start_server(discovery._serve, sock=self.socket)
-
-
 class Idle:
     """Clients that connect and say nothing more than `says`; `again`: anew, as soon as they are closed."""
 
@@ -74,7 +60,7 @@
         self.tasks: list[asyncio.Task[None]] = []
 
     def burst(self) -> None:
-        new = [_connect(self.address) for _ in range(BURST)]
+        new = [connect(self.address) for _ in range(BURST)]
         for one in new:
             with contextlib.suppress(OSError):
                 one.send(self.says)
@@ -99,13 +85,6 @@
             one.close()
 
 
-def _connect(address: tuple[str, int]) -> socket.socket:
-    one = socket.socket()
-    one.setblocking(False)
-    one.connect_ex(address)
-    return one
-
-
 async def _connected(address: tuple[str, int]) -> Caller:
     return Caller(*await asyncio.open_connection(*address))
 
@@ -141,6 +120,7 @@
         (256, "hangs", b"", None, True),
         (256, "is mute", HALF, None, False),
         (256, "refuses", HALF, "busy", False),
+        (256, "is mute", b"", "slow", False),
         (768, "is mute", b"", "busy", False),
         (1024, "refuses", b"", "busy", False),
         (1024, "hangs", HALF, "busy", True),
@@ -149,7 +129,10 @@
 def test_idle_clients_leave_a_descriptor_for_discovery_and_servers(
     tmp_path, descriptors, outage, says, before, again
 ):
-    """`busy`: requests held open fill the callers' and the servers' share when the idle ones come."""
+    """`busy`: requests held open fill the callers' and the servers' share when the idle ones come.
+
+    `slow`: some that have asked before are in the middle of a request then.
+    """
 
     async def news(message: Message) -> bytes:
         if "since=1&" not in message.first[1]:
@@ -185,6 +168,10 @@
                     holders.append(await _connected(address))
                     holders[-1].writer.write(request(name=f"held{at}"))
                 await until(lambda: not holders or old.connections >= upstream)
+                slow = [await _connected(address) for _ in range(2 * LOOKED_AT if before == "slow" else 0)]
+                for caller in slow:
+                    assert (await caller.ask(UP)).status == 200
+                    caller.writer.write(HALF)
                 for _ in range(ROUNDS):
                     program.send_signal(signal.SIGSTOP)
                     idle.burst()
@@ -197,7 +184,7 @@
                 old.release.set()
                 for holder in holders:
                     assert (await holder.answer()).status in (200, 503)
-                for caller in holders:
+                for caller in (*holders, *slow):
                     caller.writer.close()
                 assert (await _ask(address, request(name="real"))).status == 200
                 assert [message.headers["req-id"] for message in new.seen] == ["real"]
@@ -213,3 +200,41 @@
     said = asyncio.run(main())
     assert "out of system resource" not in said  # asyncio's word for an accept that found no descriptor
     assert "Too many open files" not in said
+
+
+def test_strangers_that_never_stop_writing_do_not_let_the_connections_grow():
+    """Where bytes wait on every connection that could be closed, a new one is shut unread."""
+
+    async def main():
+        async with running(Peer(), limits={"sockets": 132}) as node:
+            loop, address = asyncio.get_running_loop(), node.server.address
+            writing = [await _connected(address) for _ in range(node.server.limit)]
+            raw = [caller.writer.get_extra_info("socket").dup() for caller in writing]
+            for one in raw:
+                one.send(HALF + b"X-Slow: ")
+            await until(lambda: len(node.server.connections) == node.server.limit)
+
+            def write() -> None:  # in every turn, so that bytes wait whenever the node looks
+                nonlocal turn, most
+                turn = loop.call_soon(write)
+                most = max(most, len(node.server.connections))
+                for one in raw:
+                    with contextlib.suppress(OSError):
+                        one.send(b"y")
+
+            turn, most = loop.call_soon(write), 0
+            idle = Idle(address, b"")
+            idle.burst()
+            await until(
+                lambda: most > node.server.limit and not pending(node.server._listener.sockets[0].fileno())
+            )
+            turn.cancel()
+            idle.stop()
+            for one in raw:
+                one.close()
+            for caller in writing:
+                caller.writer.close()
+            return most - node.server.limit, EXCESS_TURNS * node.server.batch
+
+    most, allowed = asyncio.run(main())
+    assert most == allowed
