--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -249,7 +249,7 @@
             return
         job = self.jobs[request.id] = _Job(request.id, call, give_up_at)
         self.open += 1
-        call.on_gone = lambda: self._on_gone(job)
+        call.on_disconnect = lambda: self._on_disconnect(job)
         job.backstop = self.loop.call_at(give_up_at + BACKSTOP_S, self._on_backstop, job)
         self.tell(request)
 
@@ -310,9 +310,9 @@
         if job.done and not job.out:
             self.jobs.pop(job.id, None)
 
-    def _on_gone(self, job: _Job) -> None:
+    def _on_disconnect(self, job: _Job) -> None:
         if not job.done:
-            self.counts["gone"] += 1
+            self.counts["disconnected"] += 1
             self._end(job)
             self.tell(api.Lapsed(job.id))
 
@@ -321,8 +321,8 @@
         # Guard: the close of a client that had left lay unread behind other sockets, or behind its request,
         # and the request was sent on; a late loop comes to it too late. It costs a system call an attempt.
         if not job.done and job.call.disconnected:
-            self.counts["gone unread"] += 1
-            self._on_gone(job)
+            self.counts["disconnected unread"] += 1
+            self._on_disconnect(job)
         return not job.done
 
     def _on_backstop(self, job: _Job) -> None:
--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -47,7 +47,7 @@
     keep_alive: bool = True
     begun: bool = False
     answered: bool = False
-    on_gone: Callable[[], None] | None = None
+    on_disconnect: Callable[[], None] | None = None
 
     @property
     def disconnected(self) -> bool:
@@ -57,7 +57,7 @@
         """The final answer; a second one is ignored."""
         if not self.answered:
             self.answered = True
-            self.on_gone = None  # which would hold what holds this call
+            self.on_disconnect = None  # which would hold what holds this call
             self.connection.answer(self, status, body, retry_after_ms)
 
 
@@ -169,9 +169,9 @@
         calls, self._calls = self._calls, deque()
         for call in calls:
             call.answered = True
-            if call.on_gone is not None:
-                call.on_gone()
-                call.on_gone = None
+            if call.on_disconnect is not None:
+                call.on_disconnect()
+                call.on_disconnect = None
 
     # --------------------------------------------------------- httptools callbacks
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -146,9 +146,9 @@
     assert not node.balancer.jobs
     assert (await ask(node, request("post", "next"))).status == 200
     assert sorted(of.seen) == sorted([*seen, "next"])
-    assert node.counts["gone"] == 1
+    assert node.counts["disconnected"] == 1
     assert node.counts["cancelled"] == 0
-    assert node.counts["taken"] == node.counts["gone"] + node.counts["answered 200"]
+    assert node.counts["taken"] == node.counts["disconnected"] + node.counts["answered 200"]
     await until(lambda: len(node.server.connections) == 0)
     assert node.open == 0
 
@@ -360,7 +360,7 @@
                     writer.write(request("post", "second")[30:])
                 assert (await read_message(reader)).status == 200
             assert sorted(work.seen) == ["first", "second"]
-            assert node.counts["gone"] == 0
+            assert node.counts["disconnected"] == 0
             writer.close()
 
     asyncio.run(main())
