Read no more of a head that is too long

Cause: a fault that a parser's callback sets (`ServerConnection._grow`) ends the connection only when the piece has been parsed to its end, so of a 256 KB piece of an endless head the parser told 30,000 headers that nobody looks at.

Change: the callback raises, which stops the parser as an error of its own does; the answer is the same.

--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -238,6 +238,9 @@
         self._size += size
         if self._size > limit:
             self._fault = self._fault or fault
+            # Guard: nothing is read after a fault, yet of each piece of an endless head the parser went on to
+            # tell the rest, 30,000 headers. An error in a callback stops it, as one of its own does.
+            raise ValueError("too long")
 
     # -------------------------------------------------------------------- answers
 
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import sys
+from collections.abc import Callable
 
 import orjson
 import pytest
-from loopback import Discovery, config, listing, targets
+from loopback import Caller, Discovery, Peer, config, listing, running, targets, until
 
 from orchidledge import interface as api
 from orchidledge.net.discovery import MAX_LIST, parse_listing
-from orchidledge.net.http import ClientConnection, Response
+from orchidledge.net.http import MAX_HEAD, ClientConnection, Response
 from orchidledge.net.node import Node
 
 SERVERS = 250
@@ -31,31 +32,40 @@
         raise AssertionError
 
 
+def counted(act: Callable[[], object]) -> int:
+    """Calls that this makes, Python's and C's."""
+    count = 0
+
+    def note(_frame: object, event: str, _arg: object) -> None:
+        nonlocal count
+        count += event in ("call", "c_call")
+
+    sys.setprofile(note)
+    try:
+        act()
+    finally:
+        sys.setprofile(None)
+    return count
+
+
 async def calls(servers: int, pieces: int) -> int:
-    """Calls, Python's and C's, to take a list that replaces every server, in pieces of so many bytes."""
+    """Calls to take a list that replaces every server, in pieces of so many bytes."""
     known, new = (
         {f"{name}{at}": (f"127.0.0.1:{port}", "Ready") for at in range(servers)}
         for name, port in (("old", 9), ("new", 10))
     )
     node = Node(config("127.0.0.1:1", known=targets(**known)))
     node._on_list(api.ListForm.CACHED, node.config.known)
-    data, count = listing(2, True, **new), 0
+    data = listing(2, True, **new)
     discovery = await Discovery().start()
     transport, connection = await asyncio.get_running_loop().create_connection(
         lambda: ClientConnection(lambda _: None, MAX_LIST), "127.0.0.1", discovery.port
     )
     connection.start(b"GET / HTTP/1.1\r\n\r\n", _Taken(node))
 
-    def counted(_frame: object, event: str, _arg: object) -> None:
-        nonlocal count
-        count += event in ("call", "c_call")
-
-    sys.setprofile(counted)
-    try:
-        for at in range(0, len(data), pieces):
-            connection.data_received(data[at : at + pieces])
-    finally:
-        sys.setprofile(None)
+    count = counted(
+        lambda: [connection.data_received(data[at : at + pieces]) for at in range(0, len(data), pieces)]
+    )
     assert node.up == set(new)
     transport.abort()
     node.close()
@@ -70,3 +80,22 @@
 
     short, long = asyncio.run(main())
     assert long < 1.25 * FACTOR * short
+
+
+def test_no_more_is_read_of_a_head_that_is_too_long():
+    async def cost(size: int) -> int:
+        async with running(Peer()) as node:
+            caller = await Caller.to(node)
+            await until(lambda: node.server.connections)
+            (connection,) = node.server.connections
+            head = b"GET /read/1 HTTP/1.1\r\n" + b"X-A: b\r\n" * (size // 8)
+            count = counted(lambda: connection.data_received(head))
+            assert (await caller.answer()).status == 400
+            caller.writer.close()
+        return count
+
+    async def main() -> tuple[int, int]:
+        return await cost(4 * MAX_HEAD), await cost(16 * MAX_HEAD)
+
+    short, long = asyncio.run(main())
+    assert long < 1.25 * short
