--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -49,7 +49,7 @@
     keep_alive: bool = True
     begun: bool = False
     answered: bool = False
-    on_gone: Callable[[], None] | None = None
+    on_disconnect: Callable[[], None] | None = None
 
     @property
     def disconnected(self) -> bool:
@@ -59,7 +59,7 @@
         """The final answer; a second one is ignored."""
         if not self.answered:
             self.answered = True
-            self.on_gone = None  # which would hold what holds this call
+            self.on_disconnect = None  # which would hold what holds this call
             self.connection.answer(self, status, body, retry_after_ms)
 
 
@@ -171,9 +171,9 @@
         calls, self._calls = self._calls, deque()
         for call in calls:
             call.answered = True
-            if call.on_gone is not None:
-                call.on_gone()
-                call.on_gone = None
+            if call.on_disconnect is not None:
+                call.on_disconnect()
+                call.on_disconnect = None
 
     # --------------------------------------------------------- httptools callbacks
 
@@ -238,6 +238,9 @@
         self._size += size
         if self._size > limit:
             self._fault = self._fault or fault
+            # Guard: nothing is read after a fault, yet of each piece of an endless head the parser went on to
+            # tell the rest, 30,000 headers. An error in a callback stops it, as one of its own does.
+            raise ValueError("too long")
 
     # -------------------------------------------------------------------- answers
 
