Let a watch ask for the whole list on each new connection, and keep entries as they came

A directory follows its list upstream with the node's watch. Another upstream counts its revisions in its own way, and one that has lost its disk may count anew, so changes since a revision of one, asked from the other, would leave out what differs. A directory also passes entries on as they came, which a Listing has parsed away.

Change: Watcher takes `renew` (each new connection's first call asks for the whole list, and changes are no answer to that) and `parse` (what makes a Listing of the JSON). The node uses neither and asks as before, which the first test case holds.

--- a/orchidledge/net/discovery.py
+++ b/orchidledge/net/discovery.py
@@ -120,13 +120,18 @@
         wait_ms: float,
         endless: bool,
         on_news: Callable[[ListForm, Listing | None], None],
+        parse: Callable[[object], Listing] = parse_listing,
+        renew: bool = False,
     ) -> None:
+        """`renew`: each new connection's first call asks for the whole list, whatever revision is held."""
         self._address = address
         self._revision = revision
         self._wait_ms = wait_ms
         self._endless = endless
         self._failures = 0  # in a row
         self._on_news = on_news
+        self._parse = parse
+        self._renew = renew
         self._task: asyncio.Task[None] | None = None
         self._connection: ClientConnection | None = None
 
@@ -178,7 +183,7 @@
                 await asyncio.sleep(EMPTY_PAUSE_S)
 
     async def _ask(self) -> Listing:
-        connection, wait_ms = self._connection, self._wait_ms
+        connection, wait_ms, renewed = self._connection, self._wait_ms, False
         if connection is None or not connection.usable:
             self._drop()
             # Guard: an address that accepts and says nothing, after a move, would be noticed too late.
@@ -187,10 +192,12 @@
                 _, connection = await asyncio.get_running_loop().create_connection(
                     lambda: ClientConnection(lambda _: None, MAX_LIST), *self._address
                 )
-            self._connection = connection
+            self._connection, renewed = connection, self._renew
         call = _Call()
         host = f"{self._address[0]}:{self._address[1]}"
         target = f"/discovery/hosts?since={self._revision}&timeout_ms={int(wait_ms)}"
+        if renewed:
+            target = "/discovery/hosts"
         connection.start(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode(), call)
         # Guard: a turn that comes late finds both answer and limit there; a time-out dropped the answer.
         if not (await asyncio.wait({call.done}, timeout=wait_ms / 1000.0 + LATE_S))[0]:
@@ -198,7 +205,10 @@
         response = call.done.result()
         if response.status != 200:
             raise ValueError(f"discovery answered {response.status}")
-        return parse_listing(orjson.loads(response.body))
+        listing = self._parse(orjson.loads(response.body))
+        if renewed and not listing.whole:
+            raise ValueError("discovery answered with changes where the whole list was asked for")
+        return listing
 
     def _drop(self) -> None:
         if self._connection is not None:
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,48 @@
+"""The watch by itself: what it asks for on new connections, and what it takes for an answer."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from loopback import Discovery, listing, until
+
+from orchidledge.interface import ListForm
+from orchidledge.net.discovery import Watcher, parse_address
+
+UP = ("127.0.0.1:9", "Ready")
+WHOLE = listing(5, True, a=UP)
+CHANGE = listing(6, False, b=UP)
+CUT = None
+
+
+@pytest.mark.parametrize(
+    ("renew", "news", "asked", "heard"),
+    [
+        (False, [WHOLE, CHANGE, CUT, CHANGE], ["1", "5", "6", "6", "6"], "full delta failed delta"),
+        (
+            True,
+            [WHOLE, CHANGE, CUT, WHOLE, CHANGE],
+            ["", "5", "6", "", "5", "6"],
+            "full delta failed full delta",
+        ),
+        (True, [CHANGE, WHOLE], ["", "", "5"], "failed full"),
+    ],
+    ids=["held over connections", "renewed with each", "changes for a whole list refused"],
+)
+def test_revisions_that_are_asked_from(renew, news, asked, heard):
+    async def main():
+        discovery = await Discovery(*news).start()
+        forms: list[ListForm] = []
+        watcher = Watcher(
+            parse_address(discovery.endpoint), 1, 500.0, True, lambda form, _: forms.append(form), renew=renew
+        )
+        watcher.start()
+        await until(lambda: len(discovery.seen) == len(asked))
+        watcher.close()
+        discovery.stop()
+        queries = [message.first[1].partition("?since=")[2].partition("&")[0] for message in discovery.seen]
+        assert queries == asked
+        assert " ".join(form.value for form in forms) == heard
+
+    asyncio.run(main())
