--- a/orchidledge/directory/config.py
+++ b/orchidledge/directory/config.py
@@ -19,7 +19,7 @@
 
     connections: Count = 4_000
     watches: Count = 4_000
-    unsent_bytes: Count = 4 * 1024 * 1024  # of one caller's answers
+    unsent_bytes: Count = 64 * 1024 * 1024  # answers written and not yet taken by the kernel, all callers
     unread_ms: Duration = 5_000.0  # after which a caller that leaves a part of its answer unread is dropped
 
 
--- a/orchidledge/directory/feed.py
+++ b/orchidledge/directory/feed.py
@@ -12,6 +12,7 @@
 from orchidledge.directory.state import Image, State, Update
 
 WRITE_S = 1.0  # for which a change waits for the disk
+LAST_WRITE_S = 2.0  # for which the end waits for a write that has been going on
 
 
 class Feed:
@@ -67,7 +68,7 @@
         if self._task is not None:
             await self._task
         if self._write is not None:
-            await asyncio.wait({self._write})
+            await asyncio.wait({self._write}, timeout=LAST_WRITE_S)
         if self.stale and self.state.known:
             await self._save(self.state.image())
 
@@ -85,6 +86,12 @@
             self._task = asyncio.create_task(self._commit())
 
     async def _commit(self) -> None:
+        try:
+            await self._commit_all()
+        finally:
+            self._task = None
+
+    async def _commit_all(self) -> None:
         while self._updates:
             updates, self._updates = self._updates, []
             try:
@@ -97,13 +104,13 @@
             if step is None:
                 continue
             await self._save(self.state.image(step))
-            if step.revision <= self.state.revision:  # left behind while it was written
+            # A caller from elsewhere may have had the revision go ahead meanwhile.
+            if step.revision <= self.state.revision:
                 step = self.state.draft(updates, self._clock_ms()) or step
             self.state.commit(step)
             self._log.info("change", list=self.state.name, revision=step.revision, entries=len(step.rows))
             self._hub.wake(self.state)
             self._on_answers()
-        self._task = None
 
     async def _save(self, image: Image) -> None:
         loop = asyncio.get_running_loop()
@@ -111,6 +118,7 @@
             self.stale = True  # a slow disk: what it is at takes all this time
             return
         self._write = loop.run_in_executor(self._disk, self._store.write, image)
+        self._write.add_done_callback(lambda write: write.cancelled() or write.exception())  # seen, if late
         done, _ = await asyncio.wait({self._write}, timeout=WRITE_S)
         error = self._write.exception() if done else TimeoutError("the disk takes too long")
         self.stale = error is not None
--- a/orchidledge/directory/front.py
+++ b/orchidledge/directory/front.py
@@ -16,6 +16,8 @@
 LONGEST_WAIT_MS = 60_000
 RETRY_AFTER_MS = 1000.0
 SLICE = 64  # answers written in one turn of the event loop
+PRESSED_S = 0.02  # between two looks whether callers have read, while too much is held for them
+SPARED_S = 1.0  # for which a caller may leave an answer unread even then
 
 
 class ListConnection(ServerConnection):
@@ -57,7 +59,8 @@
         self.dropped = 0  # callers that didn't read
         self._unsent_bytes = unsent_bytes
         self._unread_s = unread_ms / 1000.0
-        self._slow: dict[ListConnection, float] = {}  # since when an answer is partly unread
+        self._slow: dict[ListConnection, float] = {}  # since when an answer is partly unsent, oldest first
+        self._held = 0  # bytes unsent, at most
         self._listeners: list[asyncio.Server] = []
         self._pumping = False
         self._timer: asyncio.TimerHandle | None = None
@@ -121,7 +124,9 @@
             self._refuse(call, 503)
             return
         body = feed.ask(since)
-        if body is not None:
+        if body is not None and self._pressed():
+            self._refuse(call, 503)
+        elif body is not None:
             self._write(connection, call, body)
         elif since is None or timeout_ms == 0 or self.stopping:
             self._write(connection, call, feed.state.idle())
@@ -144,10 +149,11 @@
     def _write(self, connection: ListConnection, call: Call, body: bytes) -> None:
         call.answer(200, body)
         unsent = connection.unsent_bytes
-        if unsent > self._unsent_bytes:
-            self._drop(connection)
-        elif unsent:
+        if unsent:
+            if unsent <= len(body):  # what went before has left: its time begins anew
+                self._slow.pop(connection, None)
             self._slow.setdefault(connection, self.loop.time())
+            self._held += unsent
 
     # ------------------------------------------------------------ time and slices
 
@@ -158,11 +164,20 @@
             self.loop.call_soon(self._pump)
 
     def _pump(self) -> None:
+        if self.hub.unsent and self._pressed():
+            self.loop.call_later(PRESSED_S, self._pump)
+            return
         # Guard: one change to thousands of watches held the loop until the last of them was written.
         self._pumping = self.hub.pump(SLICE)
         if self._pumping:
             self.loop.call_soon(self._pump)
 
+    def _pressed(self) -> bool:
+        """Whether callers have yet to take as much as may be held for them; drops the slowest if so."""
+        if self._held > self._unsent_bytes:
+            self._drop_slow(min(SPARED_S, self._unread_s))
+        return self._held > self._unsent_bytes
+
     def _arm(self) -> None:
         due = self.hub.next_ms
         if due is not None and (self._due_ms is None or due < self._due_ms):
@@ -178,16 +193,21 @@
         self._arm()
 
     def _check_slow(self) -> None:
-        now = self.loop.time()
-        for connection, since in list(self._slow.items()):
-            if connection not in self.connections or not connection.unsent_bytes:
-                del self._slow[connection]
-            elif now - since > self._unread_s:
-                self._drop(connection)
+        self._drop_slow(self._unread_s)
         self._slow_timer = self.loop.call_later(min(0.5, self._unread_s / 4.0), self._check_slow)
 
-    def _drop(self, connection: ListConnection) -> None:
-        # Guard: what a caller never reads would be held for it without end.
-        self._slow.pop(connection, None)
-        self.dropped += 1
-        connection.abort()
+    def _drop_slow(self, spared_s: float) -> None:
+        """Drop callers who have left a part of an answer unread for longer than this; count what is held."""
+        latest = self.loop.time() - spared_s
+        self._held = 0
+        for connection, since in list(self._slow.items()):
+            unsent = connection.unsent_bytes if connection in self.connections else 0
+            # Guard: what a caller never reads would be held for it without end.
+            if unsent and since < latest:
+                self.dropped += 1
+                connection.abort()
+                unsent = 0
+            if unsent:
+                self._held += unsent
+            else:
+                del self._slow[connection]
--- a/orchidledge/directory/process.py
+++ b/orchidledge/directory/process.py
@@ -5,6 +5,7 @@
 import asyncio
 import fcntl
 import os
+import resource
 import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -23,6 +24,7 @@
 
 LEAVE_S = 0.5  # in which the last answers are read
 WRITERS = 4
+SPARE_FILES = 64  # descriptors for all but callers and lists
 
 
 class Directory:
@@ -33,9 +35,13 @@
         self.config = config
         self.log = log
         self.hub = Hub(config.process.watches)
-        self.front = Front(
-            self.hub, config.process.connections, config.process.unsent_bytes, config.process.unread_ms
-        )
+        # Guard: an accept that finds no descriptor left keeps all lists waiting for a second.
+        connections, files = config.process.connections, resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+        left = files - SPARE_FILES - 2 * len(config.lists)
+        if files != resource.RLIM_INFINITY and left < connections:
+            log.warning("fewer descriptors than connections", connections=connections, left=left)
+            connections = max(1, left)
+        self.front = Front(self.hub, connections, config.process.unsent_bytes, config.process.unread_ms)
         self.feeds: dict[str, Feed] = {}
         self.relays: dict[str, Relay] = {}
         self.addresses: dict[str, Address] = {}
--- a/orchidledge/directory/relay.py
+++ b/orchidledge/directory/relay.py
@@ -13,6 +13,7 @@
 from orchidledge.net.upstream import Address
 
 FIRST_PAUSE_S = 0.25  # the longest, doubled by each failure in a row
+REFUSED = 4  # failures that an answer which can't be used counts for
 LONGEST_PAUSE_S = 2.0  # with connecting and the call that tells, well within 8 s of an upstream's return
 
 
@@ -94,6 +95,8 @@
     def again(self) -> None:
         """What it told can't be used: ask for the whole list, after a pause."""
         self._watcher.close()
+        # Guard: it answers, so pauses would stay short, and a list that is too long comes whole each time.
+        self._rotation.failures = max(self._rotation.failures, REFUSED)
         self._fail()
 
     def _parse(self, row: object) -> Told:
--- a/orchidledge/directory/snapshot.py
+++ b/orchidledge/directory/snapshot.py
@@ -59,10 +59,7 @@
         self._sound = False  # the newest may become the one before
 
     def load(self) -> tuple[Image | None, list[str]]:
-        """The newest image that is whole, if any, and what was wrong with those that are not.
-
-        OSError if a file is there and can't be read.
-        """
+        """The newest image that is whole, if any, and what was wrong with those that are not."""
         faults = []
         for path in (self.newest, self.previous):
             with contextlib.suppress(FileNotFoundError):
@@ -70,6 +67,10 @@
                     image = decode(path.read_bytes(), self.name)
                 except SnapshotError as error:
                     faults.append(f"{path.name}: {error}")
+                except OSError as error:
+                    if isinstance(error, FileNotFoundError):
+                        raise
+                    faults.append(f"{path.name}: {error.strerror}")
                 else:
                     self._sound = path == self.newest
                     return image, faults
--- a/orchidledge/directory/state.py
+++ b/orchidledge/directory/state.py
@@ -3,6 +3,8 @@
 A revision is a number below 2**53: a count in its high bits, the directory's tag in the low ones. The count
 goes up by at least one with each step, and is never behind the clock (in units of 10 ms). Two directories so
 have different revisions for the same moment, and a caller that moves from one to the other is seen to do so.
+A process begins a minute ahead of the clock: while a list takes fewer than 100 steps a second, what one
+process has told stays below what the next one tells, even if nothing is left on the disk.
 """
 
 from __future__ import annotations
@@ -18,7 +20,8 @@
 UNIT_MS = 10.0
 ORIGIN_MS = 1_735_689_600_000.0  # 2025-01-01; 36 bits of units last for 21 years from there
 SKIPPED = 6_000  # units ahead of the clock for the first revision after a start: 60 s
-TRUSTED = 360_000  # units ahead of the clock up to which a caller's revision is taken for one: an hour
+LEAP = 100  # units by which a revision is left behind that may not have been the last one told
+TRUSTED = 8_640_000  # units ahead of the clock up to which a caller's revision is taken for one: a day
 Count = Annotated[int, msgspec.Meta(ge=1)]
 CACHED = 64  # encoded answers that are kept for one revision
 
@@ -102,7 +105,7 @@
         self._tag = tag
         self._bytes = 0
         # Guard: after a start from an older image, or from none, the first revisions by the clock could be
-        # ones that the last process had told already, running ahead of the clock in a burst.
+        # ones that the last process had told already, ahead of the clock in a burst.
         self._floor = units(now_ms) + SKIPPED
         self._steps: deque[Step] = deque()
         self._issued: set[int] = set()  # the revisions that the log leads on from
@@ -143,10 +146,10 @@
         """Make a drafted step what is told from now on."""
         assert step.revision > self.revision
         if not self._issued:
-            # Guard: changes since 0, to a caller with a list from elsewhere, would leave the rest of that.
-            self._base = self.revision if self.known else step.revision
+            self._base = self.revision
         for row in step.rows:
             self._place(row)
+        # Guard: changes since 0, to a caller with a list from elsewhere, would leave the rest of that.
         if self.known:
             self._issued.add(self.revision)
             self._log(step)
@@ -174,7 +177,7 @@
 
     def _next(self, now_ms: float, beyond: int) -> int:
         # Guard: a revision that goes back, or stands for two states, makes a node skip changes.
-        count = max(self.revision >> TAG_BITS, beyond >> TAG_BITS) + 1
+        count = max((self.revision >> TAG_BITS) + 1, (beyond >> TAG_BITS) + LEAP if beyond else 0)
         return max(count, self._floor, units(now_ms)) << TAG_BITS | self._tag
 
     def _place(self, row: Row) -> None:
@@ -260,6 +263,8 @@
     def restore(self, image: Image) -> None:
         """Take up what an earlier process held. Only before the first commit."""
         assert not self.known
+        # Guard: it may not have been the last image, and what followed it was told under the next revisions.
+        self._floor = max(self._floor, (image.revision >> TAG_BITS) + LEAP)
         self.known, self.revision, self._base = True, image.revision, image.base
         for row in image.rows:
             self._place(row)
