--- a/tests/test_directory_parts.py
+++ b/tests/test_directory_parts.py
@@ -91,6 +91,13 @@
     assert read(state.idle()) == (third, False, {})
 
 
+def test_a_first_list_is_whole_for_one_who_holds_revision_0():
+    state = make(entry("a"))
+    assert read(state.answer(0)) == (state.revision, True, {"a": "Ready"})
+    tell(state, False, entry("b"))
+    assert read(state.answer(0)) == (state.revision, True, {"a": "Ready", "b": "Ready"})
+
+
 def test_a_whole_list_from_upstream_becomes_the_changes_that_it_makes():
     state = make(entry("a"), entry("b"), *(entry(f"x{at}") for at in range(9)))
     before, rest = state.revision, [entry(f"x{at}") for at in range(9)]
@@ -171,6 +178,25 @@
             assert (revision > since, whole) == (True, True)
 
 
+@pytest.mark.parametrize("left", ["an older image", "nothing"])
+def test_nothing_lost_far_ahead_of_the_clock_is_told_anew(left):
+    """A caller had the old process go five minutes ahead; its last changes are not on the disk."""
+    old = make(entry("a"))
+    old.commit(old.draft((), NOW, old.revision + (30_000 << TAG_BITS)))
+    image = old.image()
+    lost = [tell(old, False, entry("a", port=10 + at)) for at in range(5)]
+    if left == "nothing":
+        new = make(entry("z"), now=NOW + 1000.0)
+        assert new.ahead(lost[0], NOW + 1000.0)
+        new.commit(new.draft((), NOW + 1000.0, lost[0]))
+    else:
+        new = State("s", 5, Limits(), NOW + 1000.0)
+        new.restore(image)
+        tell(new, False, entry("z"), now=NOW + 1000.0)
+    assert new.revision > max(lost)
+    assert [read(new.answer(since))[1] for since in lost] == [True] * 5
+
+
 def test_a_callers_revision_is_left_behind_unless_no_clock_can_have_made_it():
     state = make(entry("a"), tag=5)
     other = state.revision + (1000 << TAG_BITS) + 1  # another tag's
