--- a/orchidledge/directory/state.py
+++ b/orchidledge/directory/state.py
@@ -120,7 +120,8 @@
     def draft(self, updates: Iterable[Update], now_ms: float, beyond: int = 0) -> Step | None:
         """The step that these updates make, to a revision above `beyond` too; None if there is none.
 
-        Changes nothing. LimitError if the list would grow too large, ValueError on changes of no list.
+        Changes nothing but that no later step gets this one's revision. LimitError if the list would grow too
+        large, ValueError on changes of no list.
         """
         changes: dict[str, Row] = {}
         known = self.known
@@ -140,7 +141,11 @@
         self._check(rows)
         if not known or (self.known and not rows and beyond <= self.revision):
             return None
-        return Step(self._next(now_ms, beyond), rows)
+        step = Step(self._next(now_ms, beyond), rows)
+        # Guard: while its image was written, a caller from elsewhere had the revision go ahead to this very
+        # one, and was told the list as it was before.
+        self._floor = (step.revision >> TAG_BITS) + 1
+        return step
 
     def commit(self, step: Step) -> None:
         """Make a drafted step what is told from now on."""
--- a/tests/test_directory_model.py
+++ b/tests/test_directory_model.py
@@ -202,6 +202,11 @@
         told = {entry["uid"]: (entry["state"], entry["version"]) for entry in row["targets"]}
         assert row["rev"] >= self.revision, "a revision went back"
         again = {uid for uid, entry in told.items() if not row["all"] and self.told.get(uid) == entry}
+        # What had changed in between, and back, comes again: a server that a directory's disk had lost.
+        tag = row["rev"] % (1 << TAG_BITS)
+        issued = [at for at in bed.held if self.revision < at <= row["rev"] and at % (1 << TAG_BITS) == tag]
+        between = [bed.held[at] for at in issued]
+        again = {uid for uid in again if all(held.get(uid) == self.view.get(uid) for held in between)}
         assert not again, f"told twice: {again}"
         # A Gone stays in what was told: one added and gone in between may come as Gone alone.
         self.told = told if row["all"] else self.told | told
--- a/tests/test_directory_parts.py
+++ b/tests/test_directory_parts.py
@@ -197,6 +197,17 @@
     assert [read(new.answer(since))[1] for since in lost] == [True] * 5
 
 
+def test_a_drafted_revision_is_not_told_for_another_state():
+    """A caller from elsewhere comes while the draft is written, and the process dies before it is told."""
+    state = make(entry("a"), now=NOW - 61_300.0)
+    step = state.draft([update(False, entry("b"))], NOW)
+    image = state.image(step)
+    state.commit(state.draft((), NOW, state.revision + 1))
+    again = State("s", 5, Limits(), NOW)
+    again.restore(image)
+    assert again.revision != state.revision
+
+
 def test_a_callers_revision_is_left_behind_unless_no_clock_can_have_made_it():
     state = make(entry("a"), tag=5)
     other = state.revision + (1000 << TAG_BITS) + 1  # another tag's
