--- a/orchidledge/net/node.py
+++ b/orchidledge/net/node.py
@@ -8,7 +8,6 @@
 import time
 from collections import Counter, deque
 from dataclasses import dataclass, field, replace
-from urllib.parse import unquote_to_bytes
 
 from orchidledge import interface as api
 from orchidledge.brain import Balancer
@@ -25,7 +24,7 @@
 BACKSTOP_S = 0.005  # after which a request that the module left unanswered is answered for it
 SPARE_SOCKETS = 16  # for the listener, discovery, standard streams and the event loop
 INBOUND_SHARE = 0.58  # of the other descriptors: callers' connections, lingering ones too;
-UPSTREAM_SHARE = 0.35  # servers'; what is left takes in a burst before others have been closed
+UPSTREAM_SHARE = 0.35  # servers'; what is left takes in six turns' accepts, see `EXCESS_TURNS`
 WATCH_SHARE = 0.5  # of the time within which discovery has to be asked
 FAULT_PAUSE_S = 0.5  # before an alarm or a watch is tried again that a fault of the module has lost
 STOP_OPEN_S = 0.6  # after SIGTERM connections still come for up to 0.4 s
@@ -251,7 +250,7 @@
             return
         job = self.jobs[request.id] = _Job(request.id, call, give_up_at)
         self.open += 1
-        call.on_gone = lambda: self._on_gone(job)
+        call.on_disconnect = lambda: self._on_disconnect(job)
         job.backstop = self.loop.call_at(give_up_at + BACKSTOP_S, self._on_backstop, job)
         self.tell(request)
 
@@ -260,11 +259,7 @@
         headers = call.headers
         path = call.target.partition(b"?")[0]
         parts = path.split(b"/")
-        kind = (
-            self.classes.get(unquote_to_bytes(parts[1]).decode("utf-8", "replace"))
-            if len(parts) > 1
-            else None
-        )
+        kind = self.classes.get(_unquoted(parts[1]).decode("utf-8", "replace")) if len(parts) > 1 else None
         if kind is None:
             raise BadRequestError(404)
         if call.method != (b"GET" if kind.effect is api.Effect.SAFE else b"POST"):
@@ -312,12 +307,21 @@
         if job.done and not job.out:
             self.jobs.pop(job.id, None)
 
-    def _on_gone(self, job: _Job) -> None:
+    def _on_disconnect(self, job: _Job) -> None:
         if not job.done:
-            self.counts["gone"] += 1
+            self.counts["disconnected"] += 1
             self._end(job)
             self.tell(api.Lapsed(job.id))
 
+    def _wanted(self, job: _Job) -> bool:
+        """Whether its client still waits, asked right before an attempt begins."""
+        # Guard: the close of a client that had left lay unread behind other sockets, or behind its request,
+        # and the request was sent on; a late loop comes to it too late. It costs a system call an attempt.
+        if not job.done and job.call.disconnected:
+            self.counts["disconnected unread"] += 1
+            self._on_disconnect(job)
+        return not job.done
+
     def _on_backstop(self, job: _Job) -> None:
         # Guard: whatever the module does, the client gets an answer while it still waits.
         if not job.done:
@@ -334,7 +338,7 @@
         over = job is None or job.done or job.give_up_at <= began
         if job is not None:
             job.attempts.append(None)  # a moot send has a number too
-        if job is None or over or number >= self.settings.max_attempts:
+        if job is None or over or number >= self.settings.max_attempts or not self._wanted(job):
             self._outcome(action, number, job, api.Result.MOOT, began)
             return
         left = job.give_up_at - began
@@ -352,6 +356,7 @@
             timeout,
             on_result,
             action.begin_ms / 1000.0 if action.begin_ms > 0.0 else timeout,
+            lambda: self._wanted(job),
         )
         if attempt is None:
             on_result(api.Result.CONNECT_FAILED, None)
@@ -430,6 +435,14 @@
         self._timers["stats"] = self.loop.call_later(STATS_S, self._stats)
 
 
+def _unquoted(name: bytes) -> bytes:
+    if b"%" not in name:
+        return name
+    from urllib.parse import unquote_to_bytes  # hardly ever needed, and dear to a start
+
+    return unquote_to_bytes(name)
+
+
 def _number(headers: dict[bytes, bytes], name: bytes, form: re.Pattern[str]) -> float | None:
     """A header's figure, None without one."""
     text = headers.get(name)
