Follow the server's new names and its batch of accepted connections in the directory

Why: the server now tells of a disconnected client under that name, counts how many connections a turn of the loop accepts, and closes what a burst brings beyond. Change: the directory's watches hang on `on_disconnect`, its listeners accept by the same batch, and a tenth of the descriptors is left for what a burst holds beyond the limit. No behaviour of its own changes.

--- a/orchidledge/directory/front.py
+++ b/orchidledge/directory/front.py
@@ -73,7 +73,7 @@
         """Serve a list here; where that is, should the port be 0. OSError if the address can't be had."""
         raw = socket.create_server(address)
         listener = await self.loop.create_server(
-            lambda: ListConnection(self, feed), sock=raw, backlog=max(1, min(BACKLOG, self.limit // 20))
+            lambda: ListConnection(self, feed), sock=raw, backlog=self.batch
         )
         raw.listen(BACKLOG)
         self._listeners.append(listener)
@@ -139,7 +139,7 @@
         if not self.hub.add(watch, now_ms + timeout_ms):
             self._refuse(call, 503)
             return
-        call.on_gone = lambda: self.hub.drop(watch)
+        call.on_disconnect = lambda: self.hub.drop(watch)
         self._arm()
 
     def _refuse(self, call: Call, status: int) -> None:
--- a/orchidledge/directory/process.py
+++ b/orchidledge/directory/process.py
@@ -25,6 +25,7 @@
 LEAVE_S = 0.5  # in which the last answers are read
 WRITERS = 4
 SPARE_FILES = 64  # descriptors for all but callers and lists
+CALLERS_SHARE = 0.9  # of the other descriptors; a burst holds some beyond the limit until it is closed
 
 
 class Directory:
@@ -37,7 +38,7 @@
         self.hub = Hub(config.process.watches)
         # Guard: an accept that finds no descriptor left keeps all lists waiting for a second.
         connections, files = config.process.connections, resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-        left = files - SPARE_FILES - 2 * len(config.lists)
+        left = int((files - SPARE_FILES - 2 * len(config.lists)) * CALLERS_SHARE)
         if files != resource.RLIM_INFINITY and left < connections:
             log.warning("fewer descriptors than connections", connections=connections, left=left)
             connections = max(1, left)
