Add a stand-in for the list's server that scale tests share

Cause: the scale tests of the node's control path and of hollow nodes need a list server that takes any size of list and rate of change, and that says when a watch has put a revision in force. The tests' own Discovery hands out scripted answers to one node. Change: scale/listserver.py: membership by revision without I/O, a bounded log, one encoding of an answer for all watches since the same revision; the discovery protocol round it; seeded changes and losses; a process of its own on request. No load on it has been measured.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,12 +1,18 @@
-"""The arithmetic of the scale tests' reports."""
+"""The scale tests' own parts: their reports, their list server."""
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import sys
 
 import orjson
 import pytest
+from loopback import until
 
+from orchidledge.interface import ListForm, ServerState
+from orchidledge.net.discovery import Watcher, parse_address
+from scale.listserver import Churn, ListServer, Membership, make_entries
 from scale.report import fit, table, write
 
 
@@ -36,3 +42,68 @@
     assert found["about"] == {"seed": 7}
     assert found["slopes"]["ms"]["per_unit"] == pytest.approx(1.0)
     assert found["command"][-2:] == ["--sizes", "13"]
+
+
+@contextlib.asynccontextmanager
+async def followed(count, since=0, log_limit=100):
+    """A list server, and the real watch's copy of its list: name to server, and the forms that came."""
+    server = ListServer(Membership(make_entries(["127.0.0.1:9"] * count), 5, log_limit))
+    held, forms = {}, []
+
+    def on_news(form, listing):
+        forms.append(form)
+        if form is ListForm.FULL:
+            held.clear()
+        for row in listing.servers if listing else ():
+            held[row.address] = row
+            if row.state is ServerState.REMOVED:
+                del held[row.address]
+
+    watcher = Watcher(parse_address(await server.listen()), since, 20_000.0, True, on_news)
+    watcher.start()
+    try:
+        yield server, held, forms
+    finally:
+        watcher.close()
+        server.close()
+
+
+def test_the_real_watch_reads_the_list_server():
+    async def case():
+        async with followed(40) as (server, held, forms):
+            asked = []
+            server.on_ask = asked.append
+            churn = Churn(server.membership, 3)
+            await until(lambda: len(held) == 40 and server.waiting)
+            assert forms == [ListForm.FULL]
+            server.change(churn.rows(3, 1_000))
+            await until(lambda: 6 in asked)
+            assert sum(row.state is ServerState.DRAINING for row in held.values()) == 3
+            server.change(churn.loss(30))
+            await until(lambda: 7 in asked and server.waiting)
+            assert sorted(held) == sorted(server.membership.entries)
+            assert len(held) == 10
+            assert forms == [ListForm.FULL, ListForm.DELTA, ListForm.DELTA]
+            server.drop_all()
+            await until(lambda: forms[-1] is ListForm.FAILED and server.waiting)
+            server.change(churn.rows(1, 2_000))
+            await until(lambda: 8 in asked)
+            assert server.accepted == 2
+            assert server.bytes_out > 0 < server.bytes_in
+
+    asyncio.run(case())
+
+
+def test_a_watch_behind_the_log_gets_the_whole_list_and_answers_are_encoded_once():
+    membership = Membership(make_entries(["127.0.0.1:9"] * 8), 5, log_limit=4)
+    churn = Churn(membership, 3)
+    for _ in range(4):
+        membership.change(churn.rows(2, 1_000))
+    behind, near = orjson.loads(membership.body(6)), orjson.loads(membership.body(7))
+    assert (behind["rev"], behind["all"], len(behind["targets"])) == (9, True, 8)
+    assert (near["rev"], near["all"]) == (9, False)
+    changed = {row["uid"] for row in near["targets"]}
+    assert {row["uid"]: row for row in near["targets"]} == {uid: membership.entries[uid] for uid in changed}
+    assert orjson.loads(membership.body(12))["all"]  # a revision that never was
+    assert membership.body(8) is membership.body(8)
+    assert membership.body(6) is membership.body(None)
