Add the scale test of a node's data path, direct and through the node in turn

Cause: what a call costs through a node was known from trials only, and no command of ours could say what it costs over the list's size. Change: python -m scale.datapath: real nodes with lists of several sizes beside one process of hollow servers, an open-loop client at a constant rate whose latencies count from the time that each call was due, slices direct and through each node in turn, HDR percentiles, processor time a call with idle use taken off, memory, connections opened a call, the highest rate kept, fitted slopes. A stall shows in all calls that were due meanwhile (tests/test_scale.py).

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,17 +1,19 @@
-"""The scale tests' own parts: their reports, their list server."""
+"""The scale tests' own parts: reports, list server and open-loop client; and a short run of each."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import subprocess
 import sys
 
 import orjson
 import pytest
-from loopback import until
+from loopback import Held, until
 
 from orchidledge.interface import ListForm, ServerState
 from orchidledge.net.discovery import Watcher, parse_address
+from scale import openloop
 from scale.listserver import Churn, ListServer, Membership, make_entries
 from scale.report import fit, table, write
 
@@ -107,3 +109,57 @@
     assert orjson.loads(membership.body(12))["all"]  # a revision that never was
     assert membership.body(8) is membership.body(8)
     assert membership.body(6) is membership.body(None)
+
+
+@pytest.mark.parametrize("connections", [64, 4])
+def test_a_stall_shows_in_every_call_that_was_due_meanwhile(monkeypatch, connections):
+    monkeypatch.setattr(openloop, "CONNECTIONS", connections)
+    rate, count = 400.0, 40
+
+    async def case():
+        server = await Held().start()
+        client = openloop.Client(7)
+        run = asyncio.create_task(client.run([("127.0.0.1", server.port)], rate, count / rate))
+        await until(lambda: client.outstanding == count)
+        assert server.connections <= connections
+        server.release.set()
+        found = await run
+        client.close()
+        server.stop()
+        assert found.statuses == {200: count}
+        # The release came after the last call was due, so the first has waited for all the others.
+        for at, latency in enumerate(sorted(found.latencies_us, reverse=True)):
+            assert latency >= (count - 1 - at) / rate * 1e6
+        assert openloop.histogram(found.latencies_us).get_max_value() >= (count - 1) / rate * 1e6
+
+    asyncio.run(case())
+
+
+def test_a_call_without_an_answer_counts_with_the_time_that_it_had(monkeypatch):
+    monkeypatch.setattr(openloop, "DRAIN_S", 0.05)
+
+    async def case():
+        server = await Held().start()
+        client = openloop.Client(7)
+        found = await client.run([("127.0.0.1", server.port)], 100.0, 0.05)
+        client.close()
+        server.stop()
+        assert found.statuses == {openloop.UNANSWERED: 5}
+        assert min(found.latencies_us) >= 0.05 * 1e6
+
+    asyncio.run(case())
+
+
+@pytest.mark.parametrize(
+    "options", [["datapath", "--servers", "13", "--rates", "50"]], ids=lambda options: options[0]
+)
+def test_each_bench_runs(tmp_path, options):
+    module, *rest = options
+    out = tmp_path / "run.json"
+    command = [sys.executable, "-m", f"scale.{module}", "--quick", "--out", str(out), *rest]
+    ran = subprocess.run(command, capture_output=True, text=True, timeout=120, check=False)
+    assert ran.returncode == 0, ran.stderr
+    found = orjson.loads(out.read_bytes())
+    assert found["command"][2] == f"scale.{module}"
+    assert all(row["cpu_us"] > 0.0 for row in found["rows"])
+    assert str(found["rows"][0]["list"]) in ran.stdout
