Add a profile of a call through a real node over the list's size

Cause: the data path's test says what a call costs and how that grows with the list, but not which part of the node it grows in. Change: python -m scale.callprofile: real nodes that sample themselves by processor time while they are called in turn; microseconds a call by stage and by function at each size, and a slope for each stage. A test holds the names of the stages' functions against the node's files, so that a renamed one shows.

--- a/scale/processes.py
+++ b/scale/processes.py
@@ -87,14 +87,16 @@
         self._reader = asyncio.create_task(self._read())
 
     @classmethod
-    async def start(cls, folder: Path, name: str, config: bytes) -> Node:
-        """Start it from the checkout's root and wait until it is ready."""
+    async def start(
+        cls, folder: Path, name: str, config: bytes, module: str = "orchidledge", **environ: str
+    ) -> Node:
+        """Start it from the checkout's root, as this module, and wait until it is ready."""
         path = folder / f"{name}.json"
         path.write_bytes(config)
         process = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", "orchidledge"),
+            *(sys.executable, "-m", module),
             cwd=ROOT,
-            env=os.environ | {"PROXY_CONFIG": str(path)},
+            env=os.environ | environ | {"PROXY_CONFIG": str(path)},
             stdin=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.PIPE,
         )
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -6,14 +6,16 @@
 import contextlib
 import subprocess
 import sys
+from random import Random
 
 import orjson
 import pytest
+from helpers import Bed
 from loopback import Held, until
 
 from orchidledge.interface import ListForm, ServerState
 from orchidledge.net.discovery import Watcher, parse_address
-from scale import openloop
+from scale import openloop, processes, profilednode
 from scale.listserver import Churn, ListServer, Membership, make_entries
 from scale.report import fit, table, write
 
@@ -154,7 +156,39 @@
     asyncio.run(case())
 
 
-BENCHES = [["datapath", "--servers", "13", "--rates", "50"], ["control", "--servers", "13,40"]]
+def test_a_sample_counts_for_the_stage_of_the_nodes_innermost_function(tmp_path):
+    sampler = profilednode.Sampler(tmp_path / "found")
+    bed = Bed(count=8)
+
+    class Draws(Random):
+        def choices(self, *given, **more):
+            sampler.sample(0, sys._getframe())
+            return super().choices(*given, **more)
+
+    async def case():
+        asyncio.get_running_loop().call_soon(lambda: sampler.sample(0, sys._getframe()))
+        await asyncio.sleep(0)
+
+    bed.brain.rng = Draws(3)
+    bed.ask()
+    asyncio.run(case())
+    assert sampler.stages == {"module: pick": 1, "asyncio: loop": 1}
+    sampler.end(0, None)
+    assert orjson.loads((tmp_path / "found").read_bytes())["stages"] == sampler.stages
+
+
+def test_the_stages_name_functions_that_the_node_has():
+    for file, functions in profilednode.STAGES.items():
+        if file.startswith(profilednode.OWN):
+            code = (processes.ROOT / file).read_text()
+            assert [name for name in functions if name and f"def {name}(" not in code] == [], file
+
+
+BENCHES = [
+    ["datapath", "--servers", "13", "--rates", "50"],
+    ["control", "--servers", "13,40"],
+    ["callprofile", "--servers", "13"],
+]
 
 
 @pytest.mark.parametrize("options", BENCHES, ids=lambda options: options[0])
