Tell in the scale tests how long a node waited for a core, and each limit's step

Cause: at a load average of 14 on 8 cores a node with 1,000 servers kept only 460 calls a second at 0.5 of a core, none refused: it had no core when it could have run, and the tables didn't show that. Connections opened a call and the list's size grow together, so one could not be told from the other either. Change: the time that the kernel says a node was runnable without a core stands beside its processor time; a limit's steps are rows of all figures; connections by round; an option for the descriptors that a node may hold.

--- a/scale/control.py
+++ b/scale/control.py
@@ -22,7 +22,7 @@
 
 from scale.listserver import Churn, Entry, ListServer, Membership, make_entries
 from scale.openloop import Loop, histogram
-from scale.processes import Node, cpu_seconds, memory_mb, node_config
+from scale.processes import Node, cpu_seconds, memory_mb, node_config, waited_seconds
 from scale.report import LEAST_SIZES, Slope, fit, table, write
 
 BUDGET_CORE = 0.027  # of a core
@@ -50,6 +50,7 @@
     """What was measured of a list's size at a rate of change: a figure a round."""
 
     core: list[float] = field(default_factory=list)
+    waited: list[float] = field(default_factory=list)  # seconds a second, for a core
     bytes_per_s: list[float] = field(default_factory=list)
     in_force_us: list[float] = field(default_factory=list)  # a figure a change
     load: list[float] = field(default_factory=list)
@@ -116,14 +117,17 @@
     for _ in range(plan.rounds):
         for rate in plan.rates:
             began = loop.time()
-            before = [(cpu_seconds(each.node.pid), each.bytes()) for each in followed]
+            before = [
+                (cpu_seconds(each.node.pid), waited_seconds(each.node.pid), each.bytes()) for each in followed
+            ]
             for each in followed:
                 each.in_force_us.clear()
             await asyncio.gather(*(each.churned(rate, plan.seconds) for each in followed))
             took = loop.time() - began
-            for each, (cpu, size) in zip(followed, before, strict=True):
+            for each, (cpu, waited, size) in zip(followed, before, strict=True):
                 cell = cells[each.size, rate]
                 cell.core.append((cpu_seconds(each.node.pid) - cpu) / took)
+                cell.waited.append((waited_seconds(each.node.pid) - waited) / took)
                 cell.bytes_per_s.append((each.bytes() - size) / took)
                 cell.in_force_us += each.in_force_us
                 cell.load.append(os.getloadavg()[0])
@@ -210,6 +214,7 @@
                     "core_error": statistics.stdev(cell.core) / len(cell.core) ** 0.5
                     if len(cell.core) > 1
                     else 0.0,
+                    "waited": statistics.mean(cell.waited),
                     "of_budget": core / BUDGET_CORE,
                     "bytes_per_s": bytes_per_s,
                     "bytes_of_budget": bytes_per_s / BUDGET_BYTES,
--- a/scale/datapath.py
+++ b/scale/datapath.py
@@ -23,7 +23,7 @@
 
 from scale.listserver import make_entries
 from scale.openloop import Client, Loop, Slice, histogram
-from scale.processes import Node, Told, cpu_seconds, memory_mb, node_config
+from scale.processes import SOCKETS, Node, Told, cpu_seconds, memory_mb, node_config, waited_seconds
 from scale.report import LEAST_SIZES, Slope, fit, table, write
 
 PERCENTILES = (50.0, 99.0, 99.9)
@@ -49,6 +49,7 @@
     limit_s: float = 3.0  # 0: limits are not looked for
     limit_to: float = 5000.0
     service_ms: float = 0.0
+    sockets: int = SOCKETS  # descriptors that a node may hold
     seed: int = 7
 
     def cells(self) -> list[tuple[int, float]]:
@@ -65,12 +66,23 @@
     through: list[float] = field(default_factory=list)  # latencies, microseconds
     direct: list[float] = field(default_factory=list)
     cpu_us: list[float] = field(default_factory=list)  # processor time a call, without idle: one a round
+    waited_us: list[float] = field(default_factory=list)  # a call, for a core
     lags: list[float] = field(default_factory=list)
-    opened: int = 0  # connections to servers
+    opened: list[int] = field(default_factory=list)  # connections to servers, one figure a round
     ok: int = 0
     load: list[float] = field(default_factory=list)  # the machine's load average
 
 
+@dataclass(frozen=True, slots=True)
+class Through:
+    """A slice of calls through a node, and what of the node they took."""
+
+    found: Slice
+    cpu_us: float  # processor time a call, without idle use
+    waited_us: float  # a call, in which the node could have run and had no core
+    opened: int  # connections to servers
+
+
 class Bench:
     """The processes of a run, and what is done with them."""
 
@@ -97,15 +109,17 @@
             self.idle[size] = (cpu_seconds(node.pid) - before[size]) / took
             self.idle_mb[size] = memory_mb(node.pid)
 
-    async def through(self, size: int, rate: float, seconds: float) -> tuple[Slice, float, int]:
-        """A slice through a node; its processor microseconds a call without idle, connections it opened."""
+    async def through(self, size: int, rate: float, seconds: float) -> Through:
+        """A slice of calls through the node with that many servers."""
         node, loop = self.nodes[size], asyncio.get_running_loop()
         accepted = (await self.hollow.ask())["accepted"]
-        began, before = loop.time(), cpu_seconds(node.pid)
+        began, cpu, waited = loop.time(), cpu_seconds(node.pid), waited_seconds(node.pid)
         found = await self.client.run([node.address], rate, seconds)
-        used = cpu_seconds(node.pid) - before - self.idle[size] * (loop.time() - began)
-        accepted = (await self.hollow.ask())["accepted"] - accepted
-        return found, used / len(found.latencies_us) * 1e6, accepted
+        cpu = cpu_seconds(node.pid) - cpu - self.idle[size] * (loop.time() - began)
+        waited = waited_seconds(node.pid) - waited
+        calls = len(found.latencies_us) / 1e6
+        opened = (await self.hollow.ask())["accepted"] - accepted
+        return Through(found, cpu / calls, waited / calls, opened)
 
     async def rounds(self) -> dict[tuple[int, float], Cell]:
         """All kinds of slices, direct and through a node in turn, in an order drawn anew for each round."""
@@ -115,13 +129,14 @@
             for size, rate in rng.sample(order := self.plan.cells(), len(order)):
                 cell = cells[size, rate]
                 direct = await self.client.run(self.servers, rate, self.plan.seconds)
-                found, cpu_us, opened = await self.through(size, rate, self.plan.seconds)
+                through = await self.through(size, rate, self.plan.seconds)
                 cell.direct += direct.latencies_us
-                cell.through += found.latencies_us
-                cell.lags += direct.lags_us + found.lags_us
-                cell.cpu_us.append(cpu_us)
-                cell.opened += opened
-                cell.ok += found.statuses[200]
+                cell.through += through.found.latencies_us
+                cell.lags += direct.lags_us + through.found.lags_us
+                cell.cpu_us.append(through.cpu_us)
+                cell.waited_us.append(through.waited_us)
+                cell.opened.append(through.opened)
+                cell.ok += through.found.statuses[200]
                 cell.load.append(os.getloadavg()[0])
         return {cell: cells[cell] for cell in self.plan.cells()}
 
@@ -130,24 +145,28 @@
         rate, failed, steps = self.plan.limit_from, 0, []
         best: dict[str, Any] = {"list": size, "kept_per_s": 0.0}
         while failed < FAILURES and rate <= self.plan.limit_to:
-            found, cpu_us, opened = await self.through(size, rate, self.plan.limit_s)
+            through = await self.through(size, rate, self.plan.limit_s)
+            found = through.found
+            calls, hist = len(found.latencies_us), histogram(found.latencies_us)
             quick = sum(1 for latency in found.latencies_us if latency <= KEPT_MS * 1000.0)
-            share = min(quick, found.statuses[200]) / len(found.latencies_us)
-            steps.append([round(rate, 1), round(share, 4)])
-            failed = 0 if share >= KEPT_SHARE else failed + 1
-            if not failed:
-                hist = histogram(found.latencies_us)
-                best = {
-                    "list": size,
-                    "kept_per_s": rate,
-                    "p50_us": hist.get_value_at_percentile(50.0),
-                    "p99_us": hist.get_value_at_percentile(99.0),
-                    "cpu_us": cpu_us,
-                    "core": cpu_us * rate / 1e6 + self.idle[size],
-                    "opened_per_call": opened / len(found.latencies_us),
-                }
+            step = {
+                "kept_per_s": rate,
+                "p50_us": hist.get_value_at_percentile(50.0),
+                "p99_us": hist.get_value_at_percentile(99.0),
+                "cpu_us": through.cpu_us,
+                "waited_us": through.waited_us,
+                "core": through.cpu_us * calls / found.seconds / 1e6 + self.idle[size],
+                "opened_per_call": through.opened / calls,
+                "ok_share": found.statuses[200] / calls,
+                "quick_share": quick / calls,
+                "late_sent_p99_us": histogram(found.lags_us).get_value_at_percentile(99.0),
+                "load": os.getloadavg()[0],
+            }
+            steps.append(step)
+            failed = 0 if min(quick, found.statuses[200]) >= KEPT_SHARE * calls else failed + 1
+            best = best if failed else {"list": size} | step
             rate *= STEP
-        return best | {"load": os.getloadavg()[0], "steps": steps}
+        return best | {"steps": steps}
 
 
 def latency_rows(cells: dict[tuple[int, float], Cell]) -> list[dict[str, Any]]:
@@ -178,10 +197,11 @@
                 "rate_per_s": rate,
                 "cpu_us": statistics.mean(cell.cpu_us),
                 "cpu_error_us": statistics.stdev(cell.cpu_us) / rounds**0.5 if rounds > 1 else 0.0,
+                "waited_us": statistics.mean(cell.waited_us),
                 "idle_core": bench.idle[size],
                 "idle_mb": bench.idle_mb[size],
                 "end_mb": memory_mb(bench.nodes[size].pid),
-                "opened_per_call": cell.opened / len(cell.through),
+                "opened_per_call": sum(cell.opened) / len(cell.through),
                 "ok_share": cell.ok / len(cell.through),
                 "load": statistics.mean(cell.load),
             }
@@ -218,7 +238,7 @@
             )
             for size, address in zip(plan.sizes, served["lists"], strict=True):
                 entries = make_entries(served["endpoints"][:size], plan.seed)
-                config = node_config(f"n{size}", address, entries, 1, plan.seed)
+                config = node_config(f"n{size}", address, entries, 1, plan.seed, plan.sockets)
                 nodes[size] = await Node.start(Path(folder), f"n{size}", config)
             bench = Bench(plan, client, hollow, nodes)
             pairs = (endpoint.rpartition(":") for endpoint in served["endpoints"][:DIRECT])
@@ -261,7 +281,8 @@
         print(f"processor time a call, {max(plan.sizes)} servers to {min(plan.sizes)}: {ratios}")
     merged = [cost | latency for cost, latency in zip(costs, latencies, strict=True)]
     by_round = [
-        {"list": size, "rate_per_s": rate, "cpu_us": cell.cpu_us} for (size, rate), cell in cells.items()
+        {"list": size, "rate_per_s": rate, "cpu_us": cell.cpu_us, "opened": cell.opened}
+        for (size, rate), cell in cells.items()
     ]
     write(out, merged, slopes, plan=plan, limits=limits, ratios=ratios, rounds=by_round)
 
@@ -277,6 +298,7 @@
 @click.option("--seconds", default=5.0, show_default=True, help="For each slice of calls.")
 @click.option("--rounds", default=5, show_default=True, help="Of all slices.")
 @click.option("--service-ms", default=0.0, show_default=True, help="A hollow server's time for a call.")
+@click.option("--sockets", default=SOCKETS, show_default=True, help="Descriptors that a node may hold.")
 @click.option("--no-limit", is_flag=True, help="Don't look for the highest rate kept.")
 @click.option("--seed", default=7, show_default=True)
 @click.option("--quick", is_flag=True, help="A run of seconds, to see that it works; its figures say little.")
@@ -289,6 +311,7 @@
     seconds: float,
     rounds: int,
     service_ms: float,
+    sockets: int,
     no_limit: bool,
     seed: int,
     quick: bool,
@@ -301,6 +324,7 @@
         rates=tuple(numbers(rates)),
         sizes=tuple(int(size) for size in numbers(servers)),
         service_ms=service_ms,
+        sockets=sockets,
         seed=seed,
     )
     if quick:
--- a/scale/processes.py
+++ b/scale/processes.py
@@ -20,6 +20,7 @@
 STOP_S = 5.0  # to end by itself before it is killed
 READY_PAUSE_S = 0.05
 LOG_LINES = 200
+SOCKETS = 1024  # descriptors that a node may hold where it is deployed today
 
 # An ordinary deployment: several classes, aims of seconds, no load reports, nothing scarce.
 SETTINGS: dict[str, Any] = {
@@ -43,14 +44,16 @@
 }
 
 
-def node_config(name: str, discovery: str, entries: Sequence[Entry], revision: int, seed: int) -> bytes:
+def node_config(
+    name: str, discovery: str, entries: Sequence[Entry], revision: int, seed: int, sockets: int = SOCKETS
+) -> bytes:
     """A node's configuration file, with these entries as the list that it last had."""
     row = {
         "name": name,
         "listen": "127.0.0.1:0",
         "discovery": discovery,
         "seed": f"{seed:016x}",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
         "known": {"rev": revision, "all": True, "targets": list(entries)},
         "settings": SETTINGS,
     }
@@ -60,13 +63,25 @@
 def cpu_seconds(pid: int) -> float:
     """Processor time that a process has used so far, in seconds: to the nanosecond where the kernel tells."""
     try:
-        tasks = Path(f"/proc/{pid}/task").iterdir()
-        return sum(int((task / "schedstat").read_text().split()[0]) for task in tasks) / 1e9
+        return _scheduled(pid, 0)
     except FileNotFoundError:
         fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / float(os.sysconf("SC_CLK_TCK"))
 
 
+def waited_seconds(pid: int) -> float:
+    """How long a process has waited for a core while it could run; 0 where the kernel doesn't tell."""
+    try:
+        return _scheduled(pid, 1)
+    except FileNotFoundError:
+        return 0.0
+
+
+def _scheduled(pid: int, at: int) -> float:
+    tasks = Path(f"/proc/{pid}/task").iterdir()
+    return sum(int((task / "schedstat").read_text().split()[at]) for task in tasks) / 1e9
+
+
 def memory_mb(pid: int) -> float:
     """Resident memory of a process, in MiB."""
     for line in Path(f"/proc/{pid}/status").read_text().splitlines():
