Hold the data path's arithmetic: added latency, and how a node's limit is found

Cause: the smoke run of scale.datapath shows that it runs, not that a limit is the highest rate kept or that added latency is taken percentile by percentile. Change: tests of both on modelled slices, without processes or clocks.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -6,6 +6,7 @@
 import contextlib
 import subprocess
 import sys
+from collections import Counter
 from random import Random
 
 import orjson
@@ -15,7 +16,7 @@
 
 from orchidledge.interface import ListForm, ServerState
 from orchidledge.net.discovery import Watcher, parse_address
-from scale import openloop, processes, profilednode
+from scale import datapath, openloop, processes, profilednode
 from scale.listserver import Churn, ListServer, Membership, make_entries
 from scale.report import fit, table, write
 
@@ -156,6 +157,35 @@
     asyncio.run(case())
 
 
+def test_added_latency_is_the_node_less_the_direct_call_at_each_percentile():
+    cell = datapath.Cell(through=[1000.0] * 99 + [9000.0], direct=[400.0] * 99 + [500.0], lags=[1.0])
+    row = datapath.latency_rows({(13, 170.0): cell})[0]
+    assert (row["list"], row["rate_per_s"], row["calls"]) == (13, 170.0, 100)
+    assert row["added_p50_us"] == pytest.approx(600, rel=0.002)
+    assert row["added_p99_us"] == pytest.approx(600, rel=0.002)
+    assert row["added_p99.9_us"] == pytest.approx(8500, rel=0.002)
+
+
+@pytest.mark.parametrize(
+    ("kept_to", "dip"), [(500.0, None), (500.0, 300.0), (100.0, None)], ids=["plain", "one dip", "none kept"]
+)
+def test_a_nodes_limit_is_the_highest_of_rising_rates_kept_before_two_are_not(kept_to, dip):
+    class Modelled(datapath.Bench):
+        async def through(self, size, rate, seconds):
+            kept = rate <= kept_to and not (dip and dip < rate < dip * datapath.STEP)
+            latency = datapath.KEPT_MS * (500.0 if kept else 1500.0)
+            slice_ = openloop.Slice([latency] * 100, [1.0], Counter({200: 100}), 0, 1.0)
+            return datapath.Through(slice_, 500.0, 0.0, 10)
+
+    plan = datapath.Plan(limit_from=250.0)
+    bench = Modelled(plan, None, None, {})
+    bench.idle[13] = 0.003
+    row = asyncio.run(bench.limit(13))
+    steps = [step["kept_per_s"] for step in row["steps"]]
+    assert row["kept_per_s"] == pytest.approx(max([0.0, *(rate for rate in steps if rate <= kept_to)]))
+    assert sum(rate > kept_to for rate in steps) == datapath.FAILURES
+
+
 def test_a_sample_counts_for_the_stage_of_the_nodes_innermost_function(tmp_path):
     sampler = profilednode.Sampler(tmp_path / "found")
     bed = Bed(count=8)
