Keep a run of the data path whose limit finds no rate kept, and tell its rounds

Cause: a full run at a load average of 21 lost its figures: no rate of a limit was kept, its row had other columns, and the table failed before the file was written. The machine also stood still for up to 2 s in some slices, which made the percentiles of all calls together those of the stalls (1.7 s added at p99). Change: a limit's row has its columns with 0 kept; the file is written before anything is printed; beside the percentiles of all calls stands the median of the rounds' own added latencies.

--- a/scale/datapath.py
+++ b/scale/datapath.py
@@ -63,8 +63,8 @@
 class Cell:
     """What was measured of a list's size at a rate, over all rounds."""
 
-    through: list[float] = field(default_factory=list)  # latencies, microseconds
-    direct: list[float] = field(default_factory=list)
+    through: list[list[float]] = field(default_factory=list)  # latencies, microseconds: a list a round
+    direct: list[list[float]] = field(default_factory=list)
     cpu_us: list[float] = field(default_factory=list)  # processor time a call, without idle: one a round
     waited_us: list[float] = field(default_factory=list)  # a call, for a core
     lags: list[float] = field(default_factory=list)
@@ -130,8 +130,8 @@
                 cell = cells[size, rate]
                 direct = await self.client.run(self.servers, rate, self.plan.seconds)
                 through = await self.through(size, rate, self.plan.seconds)
-                cell.direct += direct.latencies_us
-                cell.through += through.found.latencies_us
+                cell.direct.append(direct.latencies_us)
+                cell.through.append(through.found.latencies_us)
                 cell.lags += direct.lags_us + through.found.lags_us
                 cell.cpu_us.append(through.cpu_us)
                 cell.waited_us.append(through.waited_us)
@@ -143,7 +143,7 @@
     async def limit(self, size: int) -> dict[str, Any]:
         """The highest of rising rates that the node keeps."""
         rate, failed, steps = self.plan.limit_from, 0, []
-        best: dict[str, Any] = {"list": size, "kept_per_s": 0.0}
+        best: dict[str, Any] | None = None
         while failed < FAILURES and rate <= self.plan.limit_to:
             through = await self.through(size, rate, self.plan.limit_s)
             found = through.found
@@ -164,23 +164,34 @@
             }
             steps.append(step)
             failed = 0 if min(quick, found.statuses[200]) >= KEPT_SHARE * calls else failed + 1
-            best = best if failed else {"list": size} | step
+            if not failed or best is None:
+                best = {"list": size} | step | ({"kept_per_s": 0.0} if failed else {})
             rate *= STEP
-        return best | {"steps": steps}
+        return (best or {}) | {"steps": steps}
 
 
 def latency_rows(cells: dict[tuple[int, float], Cell]) -> list[dict[str, Any]]:
-    """Microseconds direct, through the node, and the difference of the two at each percentile."""
+    """Microseconds direct, through the node, and the difference of the two at each percentile.
+
+    `added` is of all calls together, `round_added` the median of the rounds' own differences: seconds in
+    which the machine stood still stay in the one and count as one round in the other.
+    """
     rows = []
     for (size, rate), cell in cells.items():
-        row: dict[str, Any] = {"list": size, "rate_per_s": rate, "calls": len(cell.through)}
-        direct, through = histogram(cell.direct), histogram(cell.through)
+        row: dict[str, Any] = {"list": size, "rate_per_s": rate, "calls": sum(map(len, cell.through))}
+        direct = histogram([latency for each in cell.direct for latency in each])
+        through = histogram([latency for each in cell.through for latency in each])
+        pairs = [(histogram(a), histogram(b)) for a, b in zip(cell.direct, cell.through, strict=True)]
         for percent in PERCENTILES:
             row[f"direct_p{percent:g}_us"] = direct.get_value_at_percentile(percent)
         for percent in PERCENTILES:
             row[f"node_p{percent:g}_us"] = through.get_value_at_percentile(percent)
         for percent in PERCENTILES:
             row[f"added_p{percent:g}_us"] = row[f"node_p{percent:g}_us"] - row[f"direct_p{percent:g}_us"]
+        for percent in PERCENTILES:
+            row[f"round_added_p{percent:g}_us"] = statistics.median(
+                b.get_value_at_percentile(percent) - a.get_value_at_percentile(percent) for a, b in pairs
+            )
         row["late_sent_p99_us"] = histogram(cell.lags).get_value_at_percentile(99.0)
         rows.append(row)
     return rows
@@ -201,8 +212,8 @@
                 "idle_core": bench.idle[size],
                 "idle_mb": bench.idle_mb[size],
                 "end_mb": memory_mb(bench.nodes[size].pid),
-                "opened_per_call": sum(cell.opened) / len(cell.through),
-                "ok_share": cell.ok / len(cell.through),
+                "opened_per_call": sum(cell.opened) / sum(map(len, cell.through)),
+                "ok_share": cell.ok / sum(map(len, cell.through)),
                 "load": statistics.mean(cell.load),
             }
         )
@@ -267,24 +278,26 @@
 ) -> None:
     """Print the tables and write the file."""
     latencies, costs, slopes = latency_rows(cells), cost_rows(cells, bench), slopes_of(cells, bench)
-    print(table(latencies), table(costs), sep="\n\n")
-    if limits:
-        print("\n" + table([{key: row[key] for key in row if key != "steps"} for row in limits]))
-    for name, slope in slopes.items():
-        print(
-            f"{name}: {slope.base:.5g} + {slope.per_unit:.5g} ± {slope.error:.2g} a server, r2 {slope.r2:.3f}"
-        )
     ratios = {}
     if len(plan.sizes) > 1:
         at = {row["list"]: row["cpu_us"] for row in costs if row["rate_per_s"] == plan.cells()[-1][1]}
-        ratios["cpu_us largest to smallest"] = at[max(plan.sizes)] / at[min(plan.sizes)]
-        print(f"processor time a call, {max(plan.sizes)} servers to {min(plan.sizes)}: {ratios}")
+        name = f"cpu_us, {max(plan.sizes)} servers to {min(plan.sizes)}"
+        ratios[name] = at[max(plan.sizes)] / at[min(plan.sizes)]
     merged = [cost | latency for cost, latency in zip(costs, latencies, strict=True)]
     by_round = [
         {"list": size, "rate_per_s": rate, "cpu_us": cell.cpu_us, "opened": cell.opened}
         for (size, rate), cell in cells.items()
     ]
     write(out, merged, slopes, plan=plan, limits=limits, ratios=ratios, rounds=by_round)
+    print(table(latencies), table(costs), sep="\n\n")
+    if limits:
+        print("\n" + table([{key: row[key] for key in row if key != "steps"} for row in limits]))
+    for name, slope in slopes.items():
+        print(
+            f"{name}: {slope.base:.5g} + {slope.per_unit:.5g} ± {slope.error:.2g} a server, r2 {slope.r2:.3f}"
+        )
+    for name, ratio in ratios.items():
+        print(f"{name}: {ratio:.3f} times")
 
 
 def numbers(text: str) -> list[float]:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -158,12 +158,19 @@
 
 
 def test_added_latency_is_the_node_less_the_direct_call_at_each_percentile():
-    cell = datapath.Cell(through=[1000.0] * 99 + [9000.0], direct=[400.0] * 99 + [500.0], lags=[1.0])
+    stalled = [9000.0] * 100  # in one round of three
+    cell = datapath.Cell(
+        through=[[1000.0] * 99 + [9000.0], [1000.0] * 99 + [9000.0], stalled],
+        direct=[[400.0] * 99 + [500.0]] * 3,
+        lags=[1.0],
+    )
     row = datapath.latency_rows({(13, 170.0): cell})[0]
-    assert (row["list"], row["rate_per_s"], row["calls"]) == (13, 170.0, 100)
+    assert (row["list"], row["rate_per_s"], row["calls"]) == (13, 170.0, 300)
     assert row["added_p50_us"] == pytest.approx(600, rel=0.002)
-    assert row["added_p99_us"] == pytest.approx(600, rel=0.002)
+    assert row["added_p99_us"] == pytest.approx(8600, rel=0.002)
     assert row["added_p99.9_us"] == pytest.approx(8500, rel=0.002)
+    assert row["round_added_p50_us"] == row["round_added_p99_us"] == pytest.approx(600, rel=0.002)
+    assert row["round_added_p99.9_us"] == pytest.approx(8500, rel=0.002)
 
 
 @pytest.mark.parametrize(
