--- a/scale/callprofile.py
+++ b/scale/callprofile.py
@@ -21,8 +21,8 @@
 
 from scale.datapath import BASE_RATE, WARM_S
 from scale.listserver import make_entries
+from scale.nodes import START_S, Node, Told, cpu_seconds, node_config
 from scale.openloop import Client, Loop
-from scale.processes import START_S, Node, Told, cpu_seconds, node_config
 from scale.report import LEAST_SIZES, Slope, fit, table, write
 
 FUNCTIONS = 12  # of each size that are listed, those with the most samples
@@ -69,7 +69,7 @@
     """Run the plan, print its tables, write its file."""
     profiles: dict[int, Profile] = defaultdict(Profile)
     with tempfile.TemporaryDirectory() as folder:
-        hollow, client = await Told.start("scale.hollow"), Client(plan.seed)
+        hollow, client = await Told.start("scale.backends"), Client(plan.seed)
         nodes: dict[int, Node] = {}
         files = {size: Path(folder) / f"profile{size}.json" for size in plan.sizes}
         try:
--- a/scale/control.py
+++ b/scale/control.py
@@ -21,8 +21,8 @@
 import click
 
 from scale.listserver import Churn, Entry, ListServer, Membership, make_entries
+from scale.nodes import Node, cpu_seconds, memory_mb, node_config, waited_seconds
 from scale.openloop import Loop, histogram
-from scale.processes import Node, cpu_seconds, memory_mb, node_config, waited_seconds
 from scale.report import LEAST_SIZES, Slope, fit, table, write
 
 BUDGET_CORE = 0.027  # of a core
--- a/scale/datapath.py
+++ b/scale/datapath.py
@@ -22,8 +22,8 @@
 import click
 
 from scale.listserver import make_entries
+from scale.nodes import SOCKETS, Node, Told, cpu_seconds, memory_mb, node_config, waited_seconds
 from scale.openloop import Client, Loop, Slice, histogram
-from scale.processes import SOCKETS, Node, Told, cpu_seconds, memory_mb, node_config, waited_seconds
 from scale.report import LEAST_SIZES, Slope, fit, table, write
 
 PERCENTILES = (50.0, 99.0, 99.9)
@@ -237,7 +237,7 @@
 async def measure(plan: Plan, out: Path) -> None:
     """Run the plan, print its tables, write its file."""
     with tempfile.TemporaryDirectory() as folder:
-        hollow = await Told.start("scale.hollow")
+        hollow = await Told.start("scale.backends")
         nodes: dict[int, Node] = {}
         client = Client(plan.seed)
         try:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -16,7 +16,7 @@
 
 from orchidledge.interface import ListForm, ServerState
 from orchidledge.net.discovery import Watcher, parse_address
-from scale import datapath, openloop, processes, profilednode
+from scale import datapath, nodes, openloop, profilednode
 from scale.listserver import Churn, ListServer, Membership, make_entries
 from scale.report import fit, table, write
 
@@ -217,7 +217,7 @@
 def test_the_stages_name_functions_that_the_node_has():
     for file, functions in profilednode.STAGES.items():
         if file.startswith(profilednode.OWN):
-            code = (processes.ROOT / file).read_text()
+            code = (nodes.ROOT / file).read_text()
             assert [name for name in functions if name and f"def {name}(" not in code] == [], file
 
 
