Move the fleet's model from tests to scale, where it is a scale test of its own

Why: it is a seeded model of a whole fleet, run by a command; a test only takes its short form from it, and the scale tests need it too.

A type argument that strict typing asks for in scale, nothing else.

--- a/tests/fleet.py
+++ b/scale/fleetmodel.py
@@ -1,8 +1,8 @@
 """A small seeded model of a fleet in model time: balancers, servers with cores and queues, clients.
 
 It runs the decision module itself and counts what servers in slow start get against what the settings
-allow. `python tests/fleet.py` prints the tables of docs/slow-start.md; `tests/test_slow_start.py` runs the
-short form.
+allow. `python -m scale.fleetmodel` prints the tables of docs/slow-start.md; `tests/test_slow_start.py` runs
+the short form.
 """
 
 from __future__ import annotations
@@ -11,18 +11,13 @@
 import heapq
 import itertools
 import math
-import sys
 from bisect import bisect_right
 from collections import deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
-from pathlib import Path
 from random import Random
 from typing import Any
 
-if __name__ == "__main__":
-    sys.path.insert(0, str(Path(__file__).parent.parent))
-
 from orchidledge import interface as api
 from orchidledge.brain import Balancer
 
@@ -243,7 +238,9 @@
         self.after(HOP_MS, self.reach, attempt)
         self.after(act.timeout_ms, self.outcome, attempt, api.Result.TIMEOUT, False, None)
 
-    def outcome(self, attempt: _Attempt, result: api.Result, done: bool, report: dict | None) -> None:
+    def outcome(
+        self, attempt: _Attempt, result: api.Result, done: bool, report: dict[str, float] | None
+    ) -> None:
         if not attempt.open:
             return
         attempt.open = False
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -1,11 +1,11 @@
 """Servers in slow start keep within what the settings allow them, over all nodes together.
 
-Seeded runs of the fleet's model (`tests/fleet.py`). In each window of the length after which an overloaded
-cold server falls, it may get N + 2 x root of N + 2 requests, N being factor x present capacity x window. The
-balancers are not told how much work a request is. So the number of requests is held to strictly; their work
-goes over by chance alone: for the model's smallest server just started (N = 5.6), a Poisson stream of half of
-N requests of this mix does so in 6 windows of a thousand, and never by number
-(`python tests/fleet.py --chance`).
+Seeded runs of the fleet's model (`scale/fleetmodel.py`). In each window of the length after which an
+overloaded cold server falls, it may get N + 2 x root of N + 2 requests, N being factor x present capacity x
+window. The balancers are not told how much work a request is. So the number of requests is held to strictly;
+their work goes over by chance alone: for the model's smallest server just started (N = 5.6), a Poisson stream
+of half of N requests of this mix does so in 6 windows of a thousand, and never by number
+(`python -m scale.fleetmodel --chance`).
 """
 
 from __future__ import annotations
@@ -14,9 +14,9 @@
 from functools import cache
 
 import pytest
-from fleet import NODES, TROUBLES, Figures, Plan, play
 
 from orchidledge.brain import Balancer
+from scale.fleetmodel import NODES, TROUBLES, Figures, Plan, play
 
 CHANCE = 6.0  # windows of a thousand that go over by work
 
