Part the fleet's model from its parts, and let several fleets share one clock

Change: constants, plan, servers, clients, attempts, figures and a clock of their own (Timeline) are in scale/fleetparts.py, their names without the underscore. The fleet takes a timeline that others may share; giving a request to a node and the end of a server's own work are methods that can be put on top.

--- a/scale/fleetmodel.py
+++ b/scale/fleetmodel.py
@@ -8,148 +8,49 @@
 from __future__ import annotations
 
 import argparse
-import heapq
 import itertools
 import math
 from bisect import bisect_right
-from collections import deque
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from random import Random
 from typing import Any
 
 from orchidledge import interface as api
 from orchidledge.brain import Balancer
-
-WORK_MS = {"read": 80.0, "post": 120.0, "amend": 200.0}  # mean work, on a standard core
-SHARE = {"read": 0.37, "post": 0.35, "amend": 0.28}
-MEAN_MS = sum(WORK_MS[name] * SHARE[name] for name in WORK_MS)
-CLASSES = (
-    api.ServiceClass("read", aim_ms=1500, give_up_ms=4000, worth=3, effect=api.Effect.SAFE),
-    api.ServiceClass("post", aim_ms=2500, give_up_ms=6000, worth=8, effect=api.Effect.UNSAFE),
-    api.ServiceClass(
-        "amend", aim_ms=2500, give_up_ms=6000, worth=2, effect=api.Effect.KEYED, memory_ms=10000
-    ),
-)
-CORES, SLOTS, QUEUE = 2, 14, 16  # a server's cores; what it holds in work and waiting, a core
-SPEEDS = (2.0, 1.2, 0.8)  # a core's, by kind
-THRASH_AT = 24.0  # requests held a core from which a server loses speed,
-THRASH = 0.18  # this much for each such multiple
-HOP_MS = 0.4
-REPORT_MS = 200.0  # a load report's age at the most
-COLD_FROM, COLD_MS, FACTOR, TIP_MS = 0.12, 23000.0, 2.5, 1500.0
-STEP_MS = 100.0  # between the ends of two windows
-
-
-@dataclass(frozen=True)
-class Plan:
-    """One run. The servers that start cold do so at `start_ms`."""
-
-    nodes: int
-    servers: int = 20
-    load: float = 0.6  # of what all servers can do warm
-    cold: float = 0.1  # share of the servers that start cold
-    restart: bool = False  # the same servers come back, after a second; else others take their place
-    burst: float = 1.0  # the load's multiple from the start on, for 3 s
-    uneven: float = 0.0  # spread of the nodes' traffic (sigma of a lognormal)
-    tries: int = 1  # a client's, in all
-    wait_ms: float = 0.0  # before each further one
-    errors: float = 0.001  # share of attempts that a server answers with an error
-    sick: float = 0.0  # share of the warm servers that turn four times slower at the start
-    late_ms: tuple[float, float] = (400.0, 2500.0)  # within which a node is told of a change
-    start_ms: float = 4000.0
-    seconds: float = 12.0
-    warm_all: bool = False  # nobody starts cold: the service that there is without
-    cfg: dict[str, Any] = field(default_factory=dict)
-
-    def settings(self) -> api.Settings:
-        given: dict[str, Any] = {
-            "classes": CLASSES, "siblings": self.nodes, "report_fields": ("eps", "inflight"),
-            "may_cancel": True, "retry_after": True, "max_retry_after_ms": 2000.0, "max_attempts": 4,
-            "sized": True, "cold_from": COLD_FROM, "cold_ms": COLD_MS, "overload_factor": FACTOR,
-        }  # fmt: skip
-        return api.Settings(**{**given, **self.cfg})
-
-
-@dataclass(slots=True)
-class _Backend:
-    address: str
-    speed: float
-    launched_ms: float | None = None
-    up: bool = True
-    sick: float = 1.0
-    busy: int = 0
-    waiting: deque[_Attempt] = field(default_factory=deque)
-    epoch: int = 0  # one more after each restart
-    report: tuple[float, int] = (-math.inf, 0)
-    got: list[tuple[float, float, bool]] = field(default_factory=list)  # when, requests of mean work, told
-
-    def share(self, now: float) -> float:
-        """Of what it can do warm."""
-        if self.launched_ms is None:
-            return 1.0
-        return min(1.0, COLD_FROM + (1.0 - COLD_FROM) * max(0.0, now - self.launched_ms) / COLD_MS)
-
-    def can_do(self, end: float) -> float:
-        """Requests of mean work in the window up to then, by its share at the window's middle."""
-        middle = max(end - TIP_MS / 2.0, self.launched_ms or 0.0)
-        return CORES * self.speed * self.share(middle) * TIP_MS / MEAN_MS
-
-    def held(self) -> int:
-        return self.busy + len(self.waiting)
-
-    def line(self, state: api.ServerState = api.ServerState.UP) -> api.Server:
-        return api.Server(self.address, launched_ms=self.launched_ms, size=self.speed, state=state)
-
-
-@dataclass(slots=True)
-class _Client:
-    """One first try and those that follow it."""
-
-    service: str
-    born_ms: float
-    work_ms: float
-    tries: int = 0
-    end: str = ""  # how the last try ended
-    served_ms: float = math.inf
-    counts: bool = True
-
-
-@dataclass(slots=True)
-class _Attempt:
-    node: int
-    id: str
-    number: int
-    backend: _Backend
-    sent_ms: float
-    client: _Client
-    open: bool = True  # no outcome yet
-
-
-@dataclass
-class Figures:
-    windows: int = 0
-    crowded: int = 0  # those with more requests than allowed, each taken as mean work
-    breaches: int = 0  # those with more work than allowed
-    untold: int = 0  # windows as full, of which a third and more came from nodes that had not been told
-    peak: float = (
-        0.0  # the most requests in a window, as a share of what is allowed with the slack for chance
-    )
-    asked: int = 0
-    served: float = 0.0  # in time, as a share of first tries after the start
-    refused: float = 0.0  # first tries that ended without an answer in time
-    given: float = 0.0  # to the cold ones, as a share of what the settings allow
-    sends: float = 0.0  # attempts a first try
+from scale.fleetparts import (
+    CLASSES,
+    CORES,
+    FACTOR,
+    HOP_MS,
+    MEAN_MS,
+    QUEUE,
+    REPORT_MS,
+    SHARE,
+    SLOTS,
+    SPEEDS,
+    STEP_MS,
+    THRASH,
+    THRASH_AT,
+    TIP_MS,
+    WORK_MS,
+    Attempt,
+    Backend,
+    Client,
+    Figures,
+    Plan,
+    Timeline,
+)  # fmt: skip
 
 
 class Fleet:
-    def __init__(self, plan: Plan, seed: int) -> None:
+    """All nodes and servers of one service, and its clients; `timeline` may be shared with other fleets."""
+
+    def __init__(self, plan: Plan, seed: int, timeline: Timeline | None = None) -> None:
         self.plan, self.rng = plan, Random(seed)
-        self.now = 0.0
-        self.events: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self.order = itertools.count()
+        self.timeline = timeline or Timeline()
         self.backends = {
-            name: _Backend(name, SPEEDS[at % len(SPEEDS)])
+            name: Backend(name, SPEEDS[at % len(SPEEDS)])
             for at, name in enumerate(f"s{at}" for at in range(plan.servers))
         }
         self.first = list(self.backends.values())
@@ -159,24 +60,26 @@
         spread = (math.exp(self.rng.gauss(0.0, plan.uneven)) for _ in self.nodes)
         self.weights = list(itertools.accumulate(spread))
         self.told = [False] * plan.nodes  # of the servers that start cold
-        self.calls: dict[str, tuple[_Client, list[_Attempt]]] = {}
+        self.calls: dict[str, tuple[Client, list[Attempt]]] = {}
         self.names = itertools.count()
-        self.clients: list[_Client] = []
+        self.clients: list[Client] = []
         self.sends = 0
-        self.cold: list[_Backend] = []
+        self.cold: list[Backend] = []
         for at in range(plan.nodes):
             self.after(self.rng.uniform(0.0, 200.0), self.give, at, api.Membership(api.ListForm.CACHED, rows))
         self.after(0.0, self.arrive)
         self.after(plan.start_ms, self.start)
 
+    @property
+    def now(self) -> float:
+        return self.timeline.now
+
     def after(self, delay: float, what: Callable[..., None], *args: Any) -> None:
-        heapq.heappush(self.events, (self.now + delay, next(self.order), what, args))
+        self.timeline.after(delay, what, *args)
 
     def run(self) -> Figures:
         end = self.plan.seconds * 1000.0
-        while self.events and self.events[0][0] < end:
-            self.now, _, what, args = heapq.heappop(self.events)
-            what(*args)
+        self.timeline.run(end)
         return self.figures(end)
 
     # ---------------------------------------------------------------- clients
@@ -188,22 +91,26 @@
             rate *= plan.burst
         service = self.rng.choices(list(SHARE), list(SHARE.values()))[0]
         work = max(1.0, self.rng.expovariate(1.0 / WORK_MS[service]))
-        client = _Client(service, self.now, work)
+        client = Client(service, self.now, work)
         client.counts = self.now >= plan.start_ms
         self.clients.append(client)
         self.ask(client)
         self.after(self.rng.expovariate(rate), self.arrive)
 
-    def ask(self, client: _Client) -> None:
+    def ask(self, client: Client) -> None:
         client.tries += 1
         kind = next(kind for kind in CLASSES if kind.name == client.service)
         left = client.born_ms + kind.give_up_ms - self.now
         if left <= 1.0:
             return
+        self.submit(client, self.now + min(left, 0.53 * kind.give_up_ms))
+
+    def submit(self, client: Client, give_up_at_ms: float) -> None:
+        """Give it to a node."""
         name = f"q{next(self.names)}"
         node = self.rng.choices(range(self.plan.nodes), cum_weights=self.weights)[0]
         self.calls[name] = (client, [])
-        self.give(node, api.Request(name, client.service, self.now + min(left, 0.53 * kind.give_up_ms)))
+        self.give(node, api.Request(name, client.service, give_up_at_ms))
 
     def answered(self, name: str, how: str) -> None:
         client, _ = self.calls[name]
@@ -232,14 +139,16 @@
 
     def send(self, node: int, act: api.Send) -> None:
         client, attempts = self.calls[act.id]
-        attempt = _Attempt(node, act.id, len(attempts), self.backends[act.server], self.now, client)
+        attempt = Attempt(
+            node, act.id, len(attempts), self.backends[act.server], self.now, act.timeout_ms, client
+        )
         attempts.append(attempt)
         self.sends += client.counts
         self.after(HOP_MS, self.reach, attempt)
         self.after(act.timeout_ms, self.outcome, attempt, api.Result.TIMEOUT, False, None)
 
     def outcome(
-        self, attempt: _Attempt, result: api.Result, done: bool, report: dict[str, float] | None
+        self, attempt: Attempt, result: api.Result, done: bool, report: dict[str, float] | None
     ) -> None:
         if not attempt.open:
             return
@@ -256,7 +165,7 @@
 
     # ---------------------------------------------------------------- servers
 
-    def reach(self, attempt: _Attempt) -> None:
+    def reach(self, attempt: Attempt) -> None:
         backend = attempt.backend
         if not backend.up:
             self.after(HOP_MS, self.outcome, attempt, api.Result.CONNECT_FAILED, False, None)
@@ -269,25 +178,30 @@
         else:
             backend.waiting.append(attempt)
 
-    def work(self, attempt: _Attempt) -> None:
+    def work(self, attempt: Attempt) -> None:
         backend = attempt.backend
         backend.busy += 1
         crowd = max(0.0, backend.held() / CORES / THRASH_AT - 1.0)
         speed = backend.speed * backend.share(self.now) / backend.sick / (1.0 + THRASH * crowd)
         self.after(attempt.client.work_ms / speed, self.finish, attempt, backend.epoch)
 
-    def finish(self, attempt: _Attempt, epoch: int) -> None:
+    def finish(self, attempt: Attempt, epoch: int) -> None:
         backend = attempt.backend
         if epoch != backend.epoch:
             return
         backend.busy -= 1
         if backend.waiting:
             self.work(backend.waiting.popleft())
+        self.worked(attempt)
+
+    def worked(self, attempt: Attempt) -> None:
+        """The server's own work on it is done."""
+        backend = attempt.backend
         good = self.rng.random() >= self.plan.errors
         result = api.Result.OK if good else api.Result.ERROR
         self.after(HOP_MS, self.outcome, attempt, result, good, self.reported(backend))
 
-    def reported(self, backend: _Backend) -> dict[str, float]:
+    def reported(self, backend: Backend) -> dict[str, float]:
         if self.now - backend.report[0] > REPORT_MS:
             backend.report = (self.now, backend.held())
         return {"eps": 0.0, "inflight": float(backend.report[1])}
@@ -309,11 +223,11 @@
                     self.after(HOP_MS, self.outcome, attempt, api.Result.RESET, False, None)
             self.after(1000.0, self.back, hit, [])
             return
-        fresh = [_Backend("n" + backend.address, backend.speed) for backend in hit]
+        fresh = [Backend("n" + backend.address, backend.speed) for backend in hit]
         self.backends.update({backend.address: backend for backend in fresh})
         self.back(fresh, hit)
 
-    def back(self, cold: list[_Backend], gone: list[_Backend]) -> None:
+    def back(self, cold: list[Backend], gone: list[Backend]) -> None:
         self.cold = cold
         for backend in cold:
             backend.up, backend.launched_ms = True, self.now
@@ -371,6 +285,7 @@
 
 
 def play(plan: Plan, seed: int) -> Figures:
+    """One run in model time; the same seed gives the same figures."""
     return Fleet(plan, seed).run()
 
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -16,7 +16,8 @@
 import pytest
 
 from orchidledge.brain import Balancer
-from scale.fleetmodel import NODES, TROUBLES, Figures, Plan, play
+from scale.fleetmodel import NODES, TROUBLES, play
+from scale.fleetparts import Figures, Plan
 
 CHANCE = 6.0  # windows of a thousand that go over by work
 
