--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -24,7 +24,7 @@
 
 SIZES = "250,500,1000,2000,4000"
 QUICK: dict[str, Any] = {"calm_s": 6.0, "rate_s": 4.0, "bursts": 1, "restarts": 1}
-GROUPS = ("", "calm_", "rate_", "burst_", "return_", "restart_")
+GROUPS = ("", "calm_", "rate_", "burst_", "return_", "restart_", "log_")
 
 
 def shaped(plan: Plan, shape: str, watches: int) -> Plan:
@@ -55,13 +55,14 @@
         row |= {f"calm_{key}": value for key, value in steady_row(calm, calm).items()}
         row |= {f"rate_{key}": value for key, value in steady_row(rate, calm).items()}
         bursts = [await run.burst(at) for at in range(plan.bursts)]
-        row |= moment_row("burst", [lost for lost, _ in bursts])
-        row |= moment_row("return", [back for _, back in bursts])
+        row |= moment_row("burst", [lost for lost, _ in bursts], calm)
+        row |= moment_row("return", [back for _, back in bursts], calm)
         restarts = [await run.restart() for _ in range(plan.restarts)]
-        row |= moment_row("restart", [stretch for stretch, _ in restarts])
+        row |= moment_row("restart", [stretch for stretch, _ in restarts], calm)
         if restarts:
             row["restart_serving_ms"] = max(after for _, after in restarts) * 1000.0
         row |= {f"end_{key}": value for key, value in run.memory().items()}
+        row |= {f"log_{name}": count for name, count in run.served.complaints().items()}
         row["load_after"] = os.getloadavg()[0]
         return row
     finally:
@@ -90,19 +91,21 @@
     return row | stretch.told.row()
 
 
-def moment_row(name: str, stretches: Sequence[Stretch]) -> dict[str, Any]:
-    """Figures of several bursts or restarts: means of what one costs, times of all together."""
+def moment_row(name: str, stretches: Sequence[Stretch], calm: Stretch) -> dict[str, Any]:
+    """Figures of several bursts or restarts: means of what one costs beyond calm, times of all together."""
     if not stretches:
         return {}
     count, told = len(stretches), Told()
     for stretch in stretches:
         told.join(stretch.told)
-    row: dict[str, Any] = {
-        f"{role}_cpu_ms": sum(one.cpu_s[role] for one in stretches) * 1000.0 / count
-        for role in stretches[0].cpu_s
-    }
-    row["hollow_cpu_ms"] = sum(one.hollow_cpu_s for one in stretches) * 1000.0 / count
-    row["seconds"] = sum(one.seconds for one in stretches) / count
+    seconds = sum(one.seconds for one in stretches)
+    row: dict[str, Any] = {}
+    for role in stretches[0].cpu_s:
+        beyond_s = sum(one.cpu_s[role] for one in stretches) - calm.cpu_s[role] * seconds / calm.seconds
+        row[f"{role}_cpu_ms"] = beyond_s * 1000.0 / count
+    hollow_s = sum(one.hollow_cpu_s for one in stretches) - calm.hollow_cpu_s * seconds / calm.seconds
+    row["hollow_cpu_ms"] = hollow_s * 1000.0 / count
+    row["seconds"] = seconds / count
     for key in ("received", "news_bytes", "news", "failed", "whole", "back"):
         row[key] = sum(one.total(key) for one in stretches) / count
     row |= told.row()
@@ -130,9 +133,13 @@
     parts = []
     for group in GROUPS:
         others = tuple(name for name in GROUPS if name and name != group)
-        keys = [key for key in rows[0] if key.startswith(group) and (group or not key.startswith(others))]
+        keys = [
+            key
+            for key in dict.fromkeys(key for row in rows for key in row)
+            if key.startswith(group) and (group or not key.startswith(others))
+        ]
         shown = [
-            {"watches": row["watches"]} | {key.removeprefix(group): row.get(key) for key in keys}
+            {"watches": row["watches"]} | {key.removeprefix(group): row.get(key, 0) for key in keys}
             for row in rows
         ]
         parts.append(f"{group.rstrip('_') or 'sizes and memory'}\n{table(shown)}")
--- a/scale/hollow_nodes.py
+++ b/scale/hollow_nodes.py
@@ -20,7 +20,15 @@
 import orjson
 
 from orchidledge.brain import Balancer
-from orchidledge.interface import WATCH_WAIT_MS, Effect, ListForm, Membership, ServiceClass, Settings
+from orchidledge.interface import (
+    WATCH_WAIT_MS,
+    Effect,
+    ListForm,
+    Membership,
+    ServerState,
+    ServiceClass,
+    Settings,
+)
 from orchidledge.net import discovery
 from orchidledge.net.discovery import Listing, Watcher, parse_listing
 from orchidledge.net.http import ClientConnection, Exchange
@@ -139,15 +147,7 @@
         self.counts["whole"] += listing.whole
         self.counts["back"] += listing.revision < node.revision  # a revision that went back
         node.revision = listing.revision
-        serials = {int(one.launched_ms) - MARK_MS for one in listing.servers if one.launched_ms is not None}
-        if listing.whole:
-            zones = {one.zone for one in listing.servers}
-            serials |= {
-                serial
-                for serial, change in self.expected.items()
-                if change.zone and change.zone not in zones and node.list in change.lists
-            }
-        for serial in serials:
+        for serial in self._changes_in(node, listing):
             change = self.expected.get(serial)
             if serial not in node.had and change is not None:
                 node.had.add(serial)
@@ -156,6 +156,21 @@
             elif change is not None and not listing.whole:
                 change.again += 1
 
+    def _changes_in(self, node: HollowNode, listing: Listing) -> set[int]:
+        """The serial numbers of the changes that a listing tells this node.
+
+        A zone's loss is known by its servers' removal or absence: a directory that finds out by comparing
+        whole lists removes entries as it had them, without the serial.
+        """
+        found = {int(one.launched_ms) - MARK_MS for one in listing.servers if one.launched_ms is not None}
+        zones = {one.zone for one in listing.servers if one.state is not ServerState.REMOVED}
+        gone = {one.zone for one in listing.servers if one.state is ServerState.REMOVED}
+        for serial, change in self.expected.items():
+            if change.zone and node.list in change.lists:
+                lost = change.zone not in zones if listing.whole else change.zone in gone
+                found |= {serial} if lost else set()
+        return found
+
     def figures(self, clear: bool) -> dict[str, Any]:
         """What has been counted; `clear` begins a new stretch."""
         found = {
--- a/scale/hollow_run.py
+++ b/scale/hollow_run.py
@@ -17,7 +17,7 @@
 
 DAY_S = 86_400.0
 CHANGES_A_DAY = 7_200
-SETTLE_S = 2.0
+SETTLE_S = 1.0  # in which whatever is told twice has time to come
 LAST_S = 30.0  # after which a change that has not reached all counts as missed by the rest
 DOWN_S = 1.0  # between a server's end and its start
 
--- a/scale/hollow_servers.py
+++ b/scale/hollow_servers.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 import time
+from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
 from random import Random
@@ -44,6 +45,10 @@
         """Start it again at the same addresses; the moment at which it served again."""
         ...
 
+    def complaints(self) -> Counter[str]:
+        """Warnings and errors in the logs since the start, by process and event."""
+        ...
+
     async def close(self) -> None: ...
 
 
@@ -80,6 +85,9 @@
         self.roles["plain"] = child
         return time.monotonic()
 
+    def complaints(self) -> Counter[str]:
+        return Counter()
+
     async def close(self) -> None:
         for child in self.roles.values():
             await child.kill()
@@ -113,8 +121,24 @@
     def _config(self, link: str) -> Path:
         return self._work / f"{link}.toml"
 
+    def _log(self, link: str) -> Path:
+        return self._work / f"{link}.log"
+
+    def complaints(self) -> Counter[str]:
+        found: Counter[str] = Counter()
+        for link in self._links:
+            for line in self._log(link).read_bytes().splitlines():
+                try:
+                    row = orjson.loads(line)
+                except orjson.JSONDecodeError:  # a traceback
+                    found[f"{link}: other output"] += 1
+                    continue
+                if row["level"] in ("warning", "error"):
+                    found[f"{link}: {row['event']}"] += 1
+        return found
+
     async def _run(self, link: str, awaited: Sequence[int]) -> float:
-        child = await Child.start("orchidledge.directory", str(self._config(link)), talks=False)
+        child = await Child.start("orchidledge.directory", str(self._config(link)), log=self._log(link))
         self.roles[link] = child
         for port in awaited:
             await _answers(port)
--- a/scale/processes.py
+++ b/scale/processes.py
@@ -40,14 +40,17 @@
         self.pid = process.pid
 
     @classmethod
-    async def start(cls, *module: str, talks: bool = True) -> Child:
-        """Run `python -m MODULE ARGS`; one that doesn't talk has its standard output left alone."""
-        pipe = asyncio.subprocess.PIPE if talks else asyncio.subprocess.DEVNULL
-        return cls(
-            await asyncio.create_subprocess_exec(
-                sys.executable, "-m", *module, stdin=pipe, stdout=pipe, limit=LINE_LIMIT
+    async def start(cls, *module: str, log: Path | None = None) -> Child:
+        """Run `python -m MODULE ARGS`; one with a log is not spoken to and writes all there."""
+        command = (sys.executable, "-m", *module)
+        if log is None:
+            pipe = asyncio.subprocess.PIPE
+            return cls(
+                await asyncio.create_subprocess_exec(*command, stdin=pipe, stdout=pipe, limit=LINE_LIMIT)
             )
-        )
+        with log.open("ab") as out:
+            null = asyncio.subprocess.DEVNULL
+            return cls(await asyncio.create_subprocess_exec(*command, stdin=null, stdout=out, stderr=out))
 
     async def say(self, message: Any) -> None:
         assert self._process.stdin is not None
