--- a/orchidledge/net/server.py
+++ b/orchidledge/net/server.py
@@ -22,6 +22,8 @@
 SPARED_S = 2.0  # of which it is spared where room is short and no request waits for it
 LINGER_S = 0.5  # how long what a caller still sends after a fatal answer is read and dropped
 SWEEP_S = 0.1
+ACCEPT_PART = 50  # one in so many of the limit is accepted in a turn of the loop, at most;
+EXCESS_TURNS = 3  # as many as these turns bring may be held over the limit, where none can be closed
 LOOKED_AT = 16  # connections that are looked at, at most, to make room for one
 PIPELINE = 32  # whole requests that may wait on one connection
 
@@ -47,7 +49,7 @@
     keep_alive: bool = True
     begun: bool = False
     answered: bool = False
-    on_gone: Callable[[], None] | None = None
+    on_disconnect: Callable[[], None] | None = None
 
     @property
     def disconnected(self) -> bool:
@@ -57,7 +59,7 @@
         """The final answer; a second one is ignored."""
         if not self.answered:
             self.answered = True
-            self.on_gone = None  # which would hold what holds this call
+            self.on_disconnect = None  # which would hold what holds this call
             self.connection.answer(self, status, body, retry_after_ms)
 
 
@@ -169,9 +171,9 @@
         calls, self._calls = self._calls, deque()
         for call in calls:
             call.answered = True
-            if call.on_gone is not None:
-                call.on_gone()
-                call.on_gone = None
+            if call.on_disconnect is not None:
+                call.on_disconnect()
+                call.on_disconnect = None
 
     # --------------------------------------------------------- httptools callbacks
 
@@ -297,6 +299,7 @@
     def __init__(self, limit: int, on_call: Callable[[Call], None]) -> None:
         self.loop = asyncio.get_running_loop()
         self.limit = limit
+        self.batch = max(1, limit // ACCEPT_PART)  # connections accepted in one turn of the loop
         self.on_call = on_call
         self.ready = False
         self.stopping = False
@@ -319,18 +322,23 @@
 
     async def listen(self, host: str, port: int) -> None:
         raw = socket.create_server((host, port))
-        # Guard: asyncio accepts as many as its `backlog` before it looks at any, and closed ones go a turn or
-        # two later: a small one keeps a burst within the descriptors. The kernel's queue is then made long.
+        # Guard: asyncio accepts as many as its `backlog` before it looks at any, and two turns more before
+        # what made room for them is closed: so much of a burst has a descriptor beside the connections
+        # counted here, and it ran out of them. The kernel's queue is made long instead.
         self._listener = await self.loop.create_server(
-            lambda: ServerConnection(self), sock=raw, backlog=max(1, self.limit // 20)
+            lambda: ServerConnection(self), sock=raw, backlog=self.batch
         )
         raw.listen(BACKLOG)
         self._sweep()
 
     def opened(self, connection: ServerConnection) -> None:
         self.connections[connection] = None
-        self.make_room()  # Guard: accepting never stops
-        self.stage(connection, self.waiting)
+        # Guard: accepting never stops. Where all that could be closed had bytes waiting to be read, it went
+        # on until no descriptor was left for discovery.
+        if not self.make_room() and len(self.connections) > self.limit + EXCESS_TURNS * self.batch:
+            connection.abort()
+        else:
+            self.stage(connection, self.waiting)
 
     def closed(self, connection: ServerConnection) -> None:
         self.stage(connection, None)
@@ -385,8 +393,10 @@
             if not connection.unsent:
                 connection.abort()
                 return True
-        for connection in islice(self.waiting, LOOKED_AT):
-            if not connection.known and connection.close_if_idle(strangers_half_read=True):
+        # Guard: a few callers that had asked before and wrote slowly hid all the strangers behind them.
+        strangers = (connection for connection in self.waiting if not connection.known)
+        for connection in islice(strangers, LOOKED_AT):
+            if connection.close_if_idle(strangers_half_read=True):
                 return True
         spared = self.loop.time() - spared_s
         for connection in islice(self.idle, LOOKED_AT):
