--- a/scale/hollow_servers.py
+++ b/scale/hollow_servers.py
@@ -134,7 +134,7 @@
                     found[f"{link}: other output"] += 1
                     continue
                 if row["level"] in ("warning", "error"):
-                    found[f"{link}: {row['event']}"] += 1
+                    found[f"{link}: {row['event'].split(':')[0]}"] += 1
         return found
 
     async def _run(self, link: str, awaited: Sequence[int]) -> float:
