Take an unheard server's queue by its slow start, not by its size

Cause: _rank takes the queue of a server that has not reported as the mean by power, and divides by nothing, so of three drawn by power the smallest unheard one wins. At size nearly all are unheard.

Change: the mean queue, less only what a server still lacks in its slow start. With equal sizes nothing changes.

--- a/orchidledge/brain.py
+++ b/orchidledge/brain.py
@@ -146,7 +146,7 @@
         self.periods = 0
         self.ratios: list[float] = []  # this period's latencies over their aims
         self.first: list[float] = []  # the first latencies over their aims, up to BASE_LEAST or a few more
-        self.queue = 0.0  # what a server that has not reported lately is held to have waiting, by its power
+        self.queue = 0.0  # what a server that has not reported lately is held to have waiting, once warm
         self.counted = False  # servers report what they have in flight
         self.base: float | None = None  # quiet latency as a share of the aim
         self.level = 0.0  # smoothed latency as a share of the aim
@@ -308,7 +308,7 @@
         # all classes together they went on getting those calls, which must not be repeated.
         errs, then = peer.errs.get(service, (0.0, now))
         failing = math.pow(1.0 - min(0.9, errs * math.exp((then - now) / ERRS_MS)), FAIL_BEND)
-        queue = self.queue * self._power(now, peer)
+        queue = self.queue * self._power(now, peer) / self._size(peer)
         queue += (peer.queue - queue) * math.exp((peer.told_ms - now) / STALE_MS)
         far = ZONE_WEIGHT * self.cfg.cross_zone_price if peer.info.zone != self.cfg.zone else 0.0
         return slow * (peer.load + queue + 1.0 + far) / failing * (1.0 + JITTER * (self.rng.random() - 0.5))
@@ -475,8 +475,11 @@
                 peer.load = max(0.0, peer.load - peer.given_up.popleft()[1])
         load = 0.0
         fresh = [peer for peer in ready if peer.told_ms >= now - FRESH_MS]  # Guard: old reports mislead
+        # Guard: taken by a server's power, the draws' smallest servers looked emptiest, and at size, where
+        # most have not reported, got several times their share: they jammed beside large ones with nothing.
         power = sum([self._power(now, peer) for peer in fresh])
-        self.queue = sum([peer.queue for peer in fresh]) / power if power else 0.0
+        mean = sum([self._size(peer) for peer in ready]) / len(ready) if ready else 0.0
+        self.queue = sum([peer.queue for peer in fresh]) / power * mean if power else 0.0
         utils = _middle([peer.util for peer in fresh if peer.util is not None])
         if self.ratios:  # the median resists one sick server
             middle = _middle(self.ratios) or 0.0
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -288,3 +288,25 @@
     whole = bed.brain.threshold(1.0, 10)
     bed.brain.cursor = len(bed.brain.shape) - 1
     assert bed.brain.threshold(1.0, 10) < 0.25 * whole
+
+
+@pytest.mark.parametrize("age", [None, 2000.0])
+def test_servers_that_have_not_reported_get_calls_by_what_they_can_do(age):
+    """Guard: at size most are unheard; the small ones looked emptiest, and got several times their share."""
+    bed = Bed(count=0, sized=True, siblings=200, cold_from=0.2)
+    launched = None if age is None else bed.now - age
+    sizes = {f"s{at}": (0.4, 1.0, 1.6)[at % 3] for at in range(60)}
+    listed = [api.Server(name, "a", size=size, launched_ms=launched) for name, size in sizes.items()]
+    bed.give(api.Membership(api.ListForm.FULL, tuple(listed)))
+    taken = dict.fromkeys((0.4, 1.0, 1.6), 0)
+    for _ in range(1500):
+        bed.give(api.Probed("s1", api.Result.OK, 1.0, {"queue": 5.0}))
+        if bed.now % 300.0 < 1.0:
+            bed.period(0.0)
+        bed.now += 1.0
+        name, acts = bed.ask()
+        for act in sent(acts):
+            taken[sizes[act.server]] += 1
+            bed.end(name, act.server, api.Result.MOOT, done=True)
+    shares = [count / size for size, count in taken.items()]
+    assert max(shares) <= 1.35 * min(shares)
