--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -165,6 +165,19 @@
     assert node.open == 0
 
 
+@contextlib.asynccontextmanager
+async def departing(fate: str, kept: bool, how: str, cancel: bool):
+    """The servers, the node and a client that is about to leave it."""
+    work = Unlucky(fate)
+    async with running(*work.servers, bounds={"cancel": cancel}) as node:
+        if kept:
+            await work.warm(node)
+        work.prepare(node)
+        client = Client(node, how)
+        yield work, node, client
+        client.close()
+
+
 @CANCEL
 @HOW
 @KEPT
@@ -172,11 +185,7 @@
     """Read in one turn, after a late one: the request, and with it or right behind it the end."""
 
     async def main():
-        work = Unlucky("none")
-        async with running(*work.servers, bounds={"cancel": cancel}) as node:
-            if kept:
-                await work.warm(node)
-            client = Client(node, how)
+        async with departing("none", kept, how, cancel) as (work, node, client):
             client.send(request("post", "left"))
             client.leave()
             await left_without_a_trace(node, of=work)
@@ -187,18 +196,16 @@
 @CANCEL
 @HOW
 @KEPT
-def test_a_client_that_leaves_as_its_request_is_about_to_be_sent(kept, how, cancel):
+@pytest.mark.parametrize("fate", ["none", "declined", "error", "reset", "refused"])
+def test_a_client_that_leaves_as_its_request_is_about_to_be_sent(fate, kept, how, cancel):
+    """For the first time, or again after an attempt that went wrong."""
+
     async def main():
-        work = Unlucky("none")
-        async with running(*work.servers, bounds={"cancel": cancel}) as node:
-            if kept:
-                await work.warm(node)
-            client = Client(node, how)
-            leave_at_send(node, 1, client)
-            client.send(request("post", "left"))
+        async with departing(fate, kept, how, cancel) as (work, node, client):
+            leave_at_send(node, 1 if fate == "none" else 2, client)
+            client.send(request("post" if fate == "none" else "read", "left"))
             await until(lambda: client.gone)
-            await left_without_a_trace(node, of=work)
-            client.close()
+            await left_without_a_trace(node, *([] if fate in ("none", "refused") else ["left"]), of=work)
 
     asyncio.run(main())
 
@@ -211,11 +218,7 @@
     """Pipelined: as the first one's answer is written, and the second waits for the next turn."""
 
     async def main():
-        work = Unlucky("none")
-        async with running(*work.servers, bounds={"cancel": cancel}) as node:
-            if kept:
-                await work.warm(node)
-            client = Client(node, how)
+        async with departing("none", kept, how, cancel) as (work, node, client):
             if pipelined:
                 answered = ServerConnection.answer
 
@@ -235,28 +238,6 @@
                 client.send(request("post", "left"))
                 client.leave()
             await left_without_a_trace(node, "first", of=work)
-            client.close()
-
-    asyncio.run(main())
-
-
-@CANCEL
-@HOW
-@KEPT
-@pytest.mark.parametrize("fate", ["declined", "error", "reset", "refused"])
-def test_a_client_that_leaves_as_its_request_is_about_to_be_sent_again(fate, kept, how, cancel):
-    async def main():
-        work = Unlucky(fate)
-        async with running(*work.servers, bounds={"cancel": cancel}) as node:
-            if kept:
-                await work.warm(node)
-            work.prepare(node)
-            client = Client(node, how)
-            leave_at_send(node, 2, client)
-            client.send(request("read", "left"))
-            await until(lambda: client.gone)
-            await left_without_a_trace(node, *([] if fate == "refused" else ["left"]), of=work)
-            client.close()
 
     asyncio.run(main())
 
@@ -268,14 +249,11 @@
     """For a first attempt and for a further one."""
 
     async def main():
-        work = Unlucky(fate)
-        async with running(*work.servers, bounds={"cancel": cancel}) as node:
-            client = Client(node, how)
+        async with departing(fate, False, how, cancel) as (work, node, client):
             leave_at_connection(node, 1 if fate == "none" else 2, client)
             client.send(request("read", "left"))
             await until(lambda: client.gone)
             await left_without_a_trace(node, *([] if fate == "none" else ["left"]), of=work)
-            client.close()
 
     asyncio.run(main())
 
