--- a/review/stand_ins/caller.py
+++ b/review/stand_ins/caller.py
@@ -50,12 +50,12 @@
             time.sleep(SPACING_S)
         give_up = time.monotonic() + self._deadline_ms / 1000.0 + LATE_S
         while open_ids and time.monotonic() < give_up:
-            for key, _ in selector.select(0.1):
+            for key, _ in selector.select(0.0 if leaves else 0.1):  # one that leaves reacts at once
                 connection = key.fileobj
                 assert isinstance(connection, socket.socket)
                 status = _read_status(connection)
                 if leaves and status in FAILED:
-                    for each in open_ids:
+                    for each in reversed(open_ids):
                         each.close()
                     print(f"{open_ids.pop(connection)} {status}", flush=True)
                     print(f"left with {len(open_ids)} requests open", flush=True)
