Abort a connection whose client closes as its response is written

Cause: ServerConnection._close_after_response called write_eof, which raises ENOTCONN if the client has closed its socket: the bytes just written draw a reset before the shutdown of the socket, and the event loop has not delivered the close, so that is_closing() is false.

Evidence: a probe with two sockets raises it each time after the client's close, never after a half-close; after a reset the write fails first.

Change: shut_down_sending reports a lost connection instead of raising, for both ends of HTTP, and the connection is aborted.

The pages of incidents are held by the tests of the documentation, which now look into docs/incidents as well.

--- a/loadbalancer/http/client_connection.py
+++ b/loadbalancer/http/client_connection.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import socket
 from collections.abc import Callable
 from typing import Protocol
 
 from loadbalancer.http.message_sizes import MAX_BODY_BYTES
 from loadbalancer.http.response_parser import HttpResponse, ResponseParser
-from loadbalancer.http.socket_state import has_unread_data
+from loadbalancer.http.socket_state import has_unread_data, shut_down_sending
 
 __all__ = ["ClientConnection", "Exchange", "HttpResponse"]
 
@@ -87,8 +85,7 @@
             # asyncio closes the socket in the next iteration of the event loop, after the requests that are
             # sent on other connections in this one, so that an abandoned attempt and the next one would be
             # open at the same time. The sending side is therefore shut down at once.
-            with contextlib.suppress(OSError):
-                self._transport.get_extra_info("socket").shutdown(socket.SHUT_WR)
+            shut_down_sending(self._transport)
             self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/loadbalancer/http/server_connection.py
+++ b/loadbalancer/http/server_connection.py
@@ -11,7 +11,7 @@
 from loadbalancer.http.request import HttpRequest
 from loadbalancer.http.request_parser import RequestParser
 from loadbalancer.http.response_head import encode_response_head
-from loadbalancer.http.socket_state import has_unread_data, peer_has_closed
+from loadbalancer.http.socket_state import has_unread_data, peer_has_closed, shut_down_sending
 
 READY_PATH = b"/up"
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -113,8 +113,15 @@
         """Register with the owner, which may abort the connection at once."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        transport.set_write_buffer_limits(high=0)  # `resume_writing` reports an empty buffer
         self._owner.connection_opened(self)
 
+    def resume_writing(self) -> None:
+        """End the sending side if the last response has just been sent."""
+        # asyncio would report a connection that is aborted within this callback as lost twice.
+        if self._closing:
+            self._owner.loop.call_soon(self._end_sending)
+
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes and dispatch the first request."""
         parser, registry = self._parser, self._registry
@@ -170,11 +177,19 @@
         self._close_after_response()
 
     def _close_after_response(self) -> None:
-        """Shut down the sending side and linger."""
+        """End the sending side once the response is sent, and linger."""
         # Closing a socket with unread bytes resets the connection, and the client loses the response. Bytes
         # that the client still sends are therefore read and discarded until the time-out of the phase.
         self._closing = True
         if not self._transport.is_closing():
-            if self._transport.can_write_eof():
-                self._transport.write_eof()
             self._registry.move_to_phase(self, self._registry.lingering)
+            self._end_sending()
+
+    def _end_sending(self) -> None:
+        """End the sending side if all bytes are sent; abort the connection if its client has closed it."""
+        # asyncio's `write_eof` raises an error if the client has closed the connection. The error would reach
+        # whoever made the connection respond: a shutdown, the time-outs or the connection to an endpoint.
+        if self._transport.is_closing() or self.unsent_bytes:
+            return
+        if not shut_down_sending(self._transport):
+            self.abort()
--- a/loadbalancer/http/socket_state.py
+++ b/loadbalancer/http/socket_state.py
@@ -1,9 +1,10 @@
-"""The state of a socket in the kernel, which the event loop may not have delivered yet."""
+"""The state of a socket in the kernel, which the event loop may not have delivered yet, and its shutdown."""
 
 from __future__ import annotations
 
 import asyncio
 import select
+import socket
 
 
 def is_readable(fileno: int) -> bool:
@@ -24,6 +25,22 @@
     return _has_event(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
 
 
+def shut_down_sending(transport: asyncio.BaseTransport) -> bool:
+    """Shut down the sending side of a transport's socket; return False if the connection is lost.
+
+    Unlike `asyncio.WriteTransport.write_eof`, it raises nothing. Bytes in the transport's write
+    buffer are not sent afterwards.
+    """
+    # A peer that has closed its socket responds to further bytes with a reset. If the reset arrives before
+    # the shutdown, the shutdown fails with ENOTCONN; on one machine it arrives within the system call that
+    # writes the bytes. `is_closing` is false then, since the event loop has not delivered the close yet.
+    try:
+        transport.get_extra_info("socket").shutdown(socket.SHUT_WR)
+    except OSError:
+        return False
+    return True
+
+
 def _has_event(fileno: int, events: int) -> bool:
     poll = select.poll()
     poll.register(fileno, events)
--- a/tests/test_documentation.py
+++ b/tests/test_documentation.py
@@ -24,6 +24,7 @@
     "docs/operations.md",
     "docs/races.md",
     "docs/slow-start.md",
+    *sorted(path.relative_to(ROOT).as_posix() for path in (ROOT / "docs/incidents").glob("*.md")),
 )
 
 
@@ -42,7 +43,7 @@
 def test_files_named_on_the_pages_exist(page):
     paths = [
         path.relative_to(ROOT).as_posix()
-        for path in [*ROOT.glob("*.md"), *ROOT.glob("docs/*.md"), *sources()]
+        for path in [*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md"), *sources()]
     ]
     named = [span for span in code_spans(page) if re.fullmatch(r"[\w/-]+\.(py|md)", span)]
     assert [name for name in named if not any(f"/{path}".endswith(f"/{name}") for path in paths)] == []
