Report only a system error of the start as one line, others with a traceback

Cause: main caught OSError around the whole run and printed one line for it, as for an address that can't be bound.

Change: only Proxy.start is inside the try.

Result: the new test of such an error fails before the change (main returns 1) and passes after it. The address that can't be bound, which had no test, gets one; it passes before and after.

--- a/loadbalancer/__main__.py
+++ b/loadbalancer/__main__.py
@@ -55,7 +55,11 @@
         print(f"loadbalancer: bad configuration: {_one_line(error)}", file=sys.stderr)
         return EXIT_BAD_CONFIGURATION
     proxy = Proxy(config)
-    await proxy.start()
+    try:
+        await proxy.start()
+    except OSError as error:
+        print(f"loadbalancer: {error}", file=sys.stderr)
+        return EXIT_SYSTEM_ERROR
     reloading = asyncio.create_task(_reload(proxy, reload_requested))
     # Objects created so far exist as long as the process, so the garbage collector need not scan them again.
     # No collection runs before: it would take a twelfth of a start's processor time and find 16 objects.
@@ -92,11 +96,7 @@
 def main() -> int:
     """Run one proxy; return the exit code of the process."""
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
-    try:
-        return asyncio.run(serve())
-    except OSError as error:
-        print(f"loadbalancer: {error}", file=sys.stderr)
-        return EXIT_SYSTEM_ERROR
+    return asyncio.run(serve())
 
 
 if __name__ == "__main__":
--- a/tests/proxy/test_main.py
+++ b/tests/proxy/test_main.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import contextlib
+import errno
 import os
 import signal
+import socket
 import subprocess
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
@@ -14,6 +16,7 @@
 import orjson
 import pytest
 
+from loadbalancer.__main__ import EXIT_SYSTEM_ERROR, main
 from loadbalancer.http.addresses import Address
 from tests.support.loopback import HttpClient, LoopbackServer, ScriptedDiscovery, StalledBackend, until
 from tests.support.messages import Message, endpoint_list_response, request, response_bytes, targets
@@ -74,6 +77,25 @@
     assert_rejected_configuration(tmp_path / name if name else None)
 
 
+def test_address_that_cannot_be_bound_is_one_line_and_exit_code_1(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as used:
+        document = DOCUMENT | {"listen": "{}:{}".format(*used.getsockname())}
+        with running_program(write_config(tmp_path, document)) as program:
+            _, log = program.communicate()
+            assert (program.returncode, log.count("\n")) == (EXIT_SYSTEM_ERROR, 1)
+
+
+def test_system_error_after_the_start_is_not_reported_as_one_of_the_start(monkeypatch):
+    """The shutdown once failed with ENOTCONN, and the one line in the log did not show where."""
+
+    async def fail_in_shutdown():
+        raise OSError(errno.ENOTCONN, "Transport endpoint is not connected")
+
+    monkeypatch.setattr("loadbalancer.__main__.serve", fail_in_shutdown)
+    with pytest.raises(OSError, match="not connected"):
+        main()
+
+
 @dataclass(frozen=True)
 class ServingProxy:
     """A ready proxy process with one endpoint, which responds to the request `held` after `release`."""
