Limit the bytes that a parser takes without a result, in every part of a message

Callers saw: one response in four never ended, in its trailer.

Cause: ResponseParser.feed and RequestParser.feed counted the bytes of a read only until the head was complete. Behind it they counted what the HTTP library reports, which keeps an incomplete trailer, reports nothing and copies all of it at each read.

Change: each read is counted until one completes a head or a message or holds a part of a body, which have limits of their own.

--- a/loadbalancer/http/request_parser.py
+++ b/loadbalancer/http/request_parser.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from loadbalancer.http.message_sizes import MAX_BODY_BYTES, MAX_HEAD_BYTES
+from loadbalancer.http.message_sizes import MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_UNPARSED_BYTES
 from loadbalancer.http.request import HttpRequest
 
 MAX_PIPELINED_REQUESTS = 32  # complete requests that may wait on one connection
@@ -50,21 +50,19 @@
         self.continue_expected = False
         self._in_head = False
         self._section_bytes = 0  # counted against the limit of the head or of the body
-        self._head_bytes = 0  # received in the reads that end within a head
+        self._unparsed_bytes = 0  # in the latest reads; limited by `MAX_UNPARSED_BYTES`
 
     def feed(self, data: bytes) -> None:
         """Parse the next bytes; must not be called after `close`. Raises nothing."""
+        # The parser keeps an incomplete header, trailer or chunk size without reporting it, so that an
+        # endless one would never be counted. Each read is therefore counted too, until one has a result.
+        self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(HTTPStatus.BAD_REQUEST)
-        if self._in_head:
-            # The parser reports a header only once it is complete, so that an endless header would never be
-            # counted. The bytes of each read are therefore counted as well; the limit includes a body,
-            # because the first of these reads may also hold the body of the previous request.
-            self._head_bytes += len(data)
-            if self._head_bytes > MAX_HEAD_BYTES + MAX_BODY_BYTES:
-                self._fail(HTTPStatus.BAD_REQUEST)
+        if self._unparsed_bytes > MAX_UNPARSED_BYTES:
+            self._fail(HTTPStatus.BAD_REQUEST)
 
     def cancel_requests(self) -> None:
         """Cancel the complete requests, because the client has disconnected."""
@@ -91,7 +89,7 @@
     def on_message_begin(self) -> None:
         """Start a request; like the other `on_` methods, called by httptools."""
         self.partial = HttpRequest()
-        self._section_bytes = self._head_bytes = 0
+        self._section_bytes = 0
         self._in_head = True
 
     def on_url(self, url: bytes) -> None:
@@ -119,6 +117,7 @@
     def on_headers_complete(self) -> None:
         """Check the framing, target, version and expectation that the complete head declares."""
         self._in_head = False
+        self._unparsed_bytes = 0
         request = self.partial
         if request is None or self.fault is not None:
             return
@@ -140,6 +139,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self._unparsed_bytes = 0
         self._section_bytes += len(body)
         if self._section_bytes > MAX_BODY_BYTES:
             self._fail_oversized(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -149,6 +149,7 @@
     def on_message_complete(self) -> None:
         """Queue the complete request, unless the queue has reached its limit."""
         request, self.partial = self.partial, None
+        self._unparsed_bytes = 0
         if request is None or self.fault is not None:
             return
         request.received_at = self._clock()
--- a/loadbalancer/http/response_parser.py
+++ b/loadbalancer/http/response_parser.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from loadbalancer.http.message_sizes import MAX_HEAD_BYTES
+from loadbalancer.http.message_sizes import MAX_HEAD_BYTES, MAX_UNPARSED_BYTES
 
 FIRST_FINAL_STATUS = int(HTTPStatus.OK)  # responses with a lower one are interim
 
@@ -39,26 +39,26 @@
         self._parser = httptools.HttpResponseParser(self)
         self._in_head = True
         self._section_bytes = 0  # counted against the limit of the head or of the body
-        self._head_bytes = 0  # received in the reads that end within a head
+        self._unparsed_bytes = 0  # in the latest reads; limited by `MAX_UNPARSED_BYTES`
 
     def start_response(self) -> None:
         """Reset the state before the response to the next request."""
         self.response = HttpResponse()
         self.complete = False
         self._in_head = True
-        self._section_bytes = self._head_bytes = 0
+        self._section_bytes = self._unparsed_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Parse the next bytes; must not be called after `close`. Raises nothing."""
+        # The parser keeps an incomplete header, trailer or chunk size without reporting it, so that an
+        # endless one would never be counted. Each read is therefore counted too, until one has a result.
+        self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.unusable = True
-        if self._in_head:
-            # The parser reports a header only once it is complete, so that an endless header would never be
-            # counted. The bytes of each read are therefore counted as well, interim responses included.
-            self._head_bytes += len(data)
-            self.unusable = self.unusable or self._head_bytes > MAX_HEAD_BYTES
+        if self._unparsed_bytes > MAX_UNPARSED_BYTES:
+            self.unusable = True
 
     def close(self) -> None:
         """Release the parser when the connection is lost."""
@@ -85,6 +85,7 @@
         if self.complete or self._parser.get_status_code() < FIRST_FINAL_STATUS:
             return
         self._in_head = False
+        self._unparsed_bytes = 0
         headers = self.response.headers
         length = headers.get(b"content-length")
         # A body whose declared length exceeds the limit would be received in vain. A body without a declared
@@ -97,6 +98,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self._unparsed_bytes = 0
         self._section_bytes += len(body)
         if self._section_bytes > self._max_body_bytes:
             self.unusable = True
--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -15,6 +15,7 @@
 
 POST = b"POST /post/1 HTTP/1.1\r\nReq-Id: q\r\nContent-Length: 0\r\n\r\n"
 OK_HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED_RESPONSE = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"
 
 
 class EndlessBackend(LoopbackServer):
@@ -49,6 +50,8 @@
         pytest.param(OK_HEAD + b"X-Endless: ", b"y" * 1000, id="endless header"),
         pytest.param(OK_HEAD, b"X-Pad: y\r\n", id="endless head"),
         pytest.param(b"", b"HTTP/1.1 102 Processing\r\n\r\n", id="endless interim responses"),
+        pytest.param(CHUNKED_RESPONSE + b"0\r\nNote: ", b"y" * 1000, id="endless trailer"),
+        pytest.param(CHUNKED_RESPONSE + b"1;", b"y" * 1000, id="endless chunk extension"),
         pytest.param(OK_HEAD + b"Content-Length: 3000000000\r\n\r\n", b"", id="length over the limit"),
         pytest.param(OK_HEAD + b"\r\n", b"until the end", id="no length"),
         pytest.param(
--- a/tests/http/test_request_validation.py
+++ b/tests/http/test_request_validation.py
@@ -56,6 +56,11 @@
             b"3\r\nabc\r\n0\r\nIdempotency-Key: k\r\n\r\n",
             id="trailer",
         ),
+        pytest.param(
+            b"POST /post/1 HTTP/1.1\r\nReq-Id: q\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n0\r\nNote: " + b"y" * 1_000_000,
+            id="trailer that does not end",
+        ),
         pytest.param(
             request().replace(b"\r\n\r\n", b"\r\nContent-Length: 3\r\n\r\nabc"),
             id="body of an idempotent request",
