Count a response's trailers apart from its body

ResponseParser added the bytes of trailers to those of the body and compared the sum with the limit of a head (16 KiB), so that a good response with a body beyond 16 KiB and any trailer was unusable: the request failed, or ran twice where a retry is harmless.

Change: the names and values of a head or a trailer section have a count of their own; the body is measured by what is kept of it.

Result: the new test failed before the change (RESET, connection closed) and passes after it.

--- a/loadbalancer/http/response_parser.py
+++ b/loadbalancer/http/response_parser.py
@@ -38,7 +38,7 @@
         self._max_body_bytes = max_body_bytes
         self._parser = httptools.HttpResponseParser(self)
         self._in_head = True
-        self._section_bytes = 0  # counted against the limit of the head or of the body
+        self._field_bytes = 0  # of the names and values in the head, or in the trailer section
         self._unparsed_bytes = 0  # in the latest reads; limited by `MAX_UNPARSED_BYTES`
 
     def start_response(self) -> None:
@@ -46,7 +46,7 @@
         self.response = HttpResponse()
         self.complete = False
         self._in_head = True
-        self._section_bytes = self._unparsed_bytes = 0
+        self._field_bytes = self._unparsed_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Parse the next bytes; must not be called after `close`. Raises nothing."""
@@ -73,15 +73,15 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; trailers are ignored."""
-        self._section_bytes += len(name) + len(value)
-        if self._section_bytes > MAX_HEAD_BYTES:
+        self._field_bytes += len(name) + len(value)
+        if self._field_bytes > MAX_HEAD_BYTES:
             self.unusable = True
         if self._in_head:
             self.response.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
         """Check the body length that the head of a final response declares."""
-        self._section_bytes = 0
+        self._field_bytes = 0
         if self.complete or self._parser.get_status_code() < FIRST_FINAL_STATUS:
             return
         self._in_head = False
@@ -99,8 +99,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         self._unparsed_bytes = 0
-        self._section_bytes += len(body)
-        if self._section_bytes > self._max_body_bytes:
+        if len(self.response.body) + len(body) > self._max_body_bytes:
             self.unusable = True
         if not self.unusable:
             self.response.body += body
@@ -112,7 +111,7 @@
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
             self.response = HttpResponse()
-            self._section_bytes = 0
+            self._field_bytes = 0
             return
         self.response.status = status
         self.complete = True
--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -9,6 +9,7 @@
 import pytest
 
 from loadbalancer.events import AttemptResult
+from loadbalancer.http.message_sizes import MAX_BODY_BYTES
 from tests.support.loopback import LoopbackServer
 from tests.support.messages import read_message, response_bytes
 from tests.support.proxy import attempt_result, make_pool
@@ -81,3 +82,10 @@
 )
 async def test_bytes_after_a_complete_response_close_the_connection(trailing):
     assert await attempt_and_pooled_connections(response_bytes() + trailing) == (AttemptResult.OK, 0)
+
+
+async def test_trailer_after_a_body_longer_than_a_head_is_ignored():
+    """The trailer's bytes were once added to those of the body and compared with the limit of a head."""
+    chunks = b"%x\r\n%s\r\n" % (MAX_BODY_BYTES, b"b" * MAX_BODY_BYTES)
+    response = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\nNote: v\r\n\r\n"
+    assert await attempt_and_pooled_connections(response) == (AttemptResult.OK, 1)
