Forward responses without a length that end with an orderly close

Cause: ResponseParser.on_headers_complete rejected each, since a complete one can't be told from a truncated one. In the protocol it can: what fails resets its connections, and a reset is no end.

Change: the body is received within the limit of a body, and completed by the end of the stream in ClientConnection.eof_received. A reset still fails the attempt, as do a stream that ends before its declared length or within chunks.

--- a/loadbalancer/http/client_connection.py
+++ b/loadbalancer/http/client_connection.py
@@ -113,8 +113,13 @@
             self._fail_exchange()
 
     def eof_received(self) -> bool:
-        """Let asyncio close the connection, which fails the exchange."""
+        """Deliver a response that ends with the stream; asyncio then closes the connection."""
         self._ended = True
+        exchange = self._exchange
+        if exchange is not None:
+            self._parser.feed_end_of_stream()
+            if self._parser.complete:
+                self._deliver_response(exchange)
         return False
 
     def connection_lost(self, _exc: Exception | None) -> None:
--- a/loadbalancer/http/response_parser.py
+++ b/loadbalancer/http/response_parser.py
@@ -28,7 +28,7 @@
         response: The response to the current request.
         complete: Whether the response has been received in full.
         unusable: Whether the connection must not be used for another request: a response exceeds a limit, is
-            malformed, announces the end of the connection, or has a body that only this end delimits.
+            malformed, or announces the end of the connection.
     """
 
     def __init__(self, max_body_bytes: int) -> None:
@@ -38,6 +38,7 @@
         self._max_body_bytes = max_body_bytes
         self._parser = httptools.HttpResponseParser(self)
         self._in_head = True
+        self._until_close = False  # the end of the connection delimits the body
         self._field_bytes = 0  # of the names and values in the head, or in the trailer section
         self._unparsed_bytes = 0  # in the latest reads; limited by `MAX_UNPARSED_BYTES`
 
@@ -46,6 +47,7 @@
         self.response = HttpResponse()
         self.complete = False
         self._in_head = True
+        self._until_close = False
         self._field_bytes = self._unparsed_bytes = 0
 
     def feed(self, data: bytes) -> None:
@@ -60,6 +62,14 @@
         if self._unparsed_bytes > MAX_UNPARSED_BYTES:
             self.unusable = True
 
+    def feed_end_of_stream(self) -> None:
+        """Complete a response whose body ends with the connection; must not be called after a reset."""
+        # A peer that fails resets its connections. Only an orderly end of the stream therefore completes such
+        # a response.
+        if self._until_close and not self.complete and not self.unusable:
+            self.response.status = self._parser.get_status_code()
+            self.complete = self.unusable = True
+
     def close(self) -> None:
         """Release the parser when the connection is lost."""
         # This parser and that of httptools refer to each other, and the garbage collector rarely examines
@@ -88,11 +98,9 @@
         self._unparsed_bytes = 0
         headers = self.response.headers
         length = headers.get(b"content-length")
-        # A body whose declared length exceeds the limit would be received in vain. A body without a declared
-        # length ends with the connection, so that a complete one can't be distinguished from a truncated
-        # one. Both are rejected.
+        # A body whose declared length exceeds the limit would be received in vain, and is rejected.
         if length is None:
-            self.unusable = self.unusable or b"transfer-encoding" not in headers
+            self._until_close = b"transfer-encoding" not in headers
         elif b"transfer-encoding" in headers or int(length) > self._max_body_bytes:
             self.unusable = True
 
