Use late responses of a slow discovery, beside the next watch request

A change has to be in force 6 s after discovery had it and could be reached.

Cause: WatchClient gave each request up at its time limit (1 s of wait and 1 s of grace on a new connection) and closed its connection; the next request had the same limit.

While responses are late, a request waits until its limit and has no grace, since a change within the grace would be noticed only by the next request.

--- a/loadbalancer/discovery/watch_client.py
+++ b/loadbalancer/discovery/watch_client.py
@@ -6,11 +6,9 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
-from http import HTTPStatus
-
-import orjson
 
 from loadbalancer.discovery.endpoint_list import EndpointList, parse_endpoint_list
+from loadbalancer.discovery.watch_request import RESPONSE_GRACE_S, LateRequests, WatchRequest
 from loadbalancer.discovery.watch_timing import (
     WATCH_CONNECT_MS,
     WATCH_FIRST_WAIT_MS,
@@ -23,8 +21,6 @@
 
 logger = logging.getLogger(__name__)
 
-PATH = "/discovery/hosts"
-RESPONSE_GRACE_S = WATCH_RESPONSE_GRACE_MS / 1000.0
 CONNECT_TIMEOUT_S = WATCH_CONNECT_MS / 1000.0
 FIRST_WAIT_MS = WATCH_FIRST_WAIT_MS
 PUSH_BACKOFF_S = WATCH_INITIAL_BACKOFF_MS / 1000.0  # from the second failure in a row, where lists are pushed
@@ -35,10 +31,6 @@
 """Receives each update; the list is None if the kind is UNAVAILABLE."""
 
 
-class WatchResponseError(ValueError):
-    """A response whose status or kind of list does not match the watch request."""
-
-
 @dataclass(slots=True, frozen=True, eq=False, repr=False)
 class WatchOptions:
     """How long a watch request waits, when it is repeated, and how its response is parsed."""
@@ -46,31 +38,12 @@
     wait_ms: float  # the longest time for which discovery may delay a response without changes
     retries_forever: bool  # False: a failed watch request ends the watch, and the owner starts the next one
     refresh_on_connect: bool = False  # the first request on each connection asks for the complete list
+    accepts_late_responses: bool = False  # a late request continues beside the next one
     parse: Callable[[object], EndpointList] = parse_endpoint_list  # raises ValueError
 
 
-class _PendingResponse:
-    """The exchange of one watch request; provides the response as a future."""
-
-    def __init__(self) -> None:
-        self.future: asyncio.Future[HttpResponse] = asyncio.get_running_loop().create_future()
-
-    def on_response(self, response: HttpResponse) -> None:
-        """Resolve the future."""
-        if not self.future.done():
-            self.future.set_result(response)
-
-    def on_connection_lost(self, *, request_written: bool) -> None:
-        """Fail the future with ConnectionError."""
-        del request_written  # a watch request is idempotent
-        if not self.future.done():
-            self.future.set_exception(
-                ConnectionError("connection to discovery ended without a valid response")
-            )
-
-
 class WatchClient:
-    """Follows the endpoint list at one address, with one watch request at a time.
+    """Follows the endpoint list at one address, with one watch request at a time, beside late ones.
 
     `on_update` receives each response, including those without changes, and UNAVAILABLE for each failure.
     """
@@ -85,6 +58,8 @@
         self._failures = 0  # in a row
         self._task: asyncio.Task[None] | None = None
         self._connection: ClientConnection | None = None
+        self._late_requests = LateRequests(self._on_late_response)
+        self._discovery_slow = False  # whether responses arrive later than the grace period
 
     def start(self) -> None:
         """Start the watch; no effect while it runs."""
@@ -97,7 +72,7 @@
         # running backoff, or a pending request to a server at the same address that has stopped responding,
         # would delay the first request. Both are therefore dropped.
         self.close()
-        self._address, self._task, self._failures = address, None, 0
+        self._address, self._task, self._failures, self._discovery_slow = address, None, 0, False
         self.start()
 
     def close(self) -> None:
@@ -105,13 +80,16 @@
         if self._task is not None:
             self._task.cancel()
         self._disconnect()
+        self._late_requests.drop_all()
 
     async def _follow(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
             started_at_s = loop.time()
             try:
-                endpoint_list = await self._request_list()
+                request = await self._open_request()
+                response = await self._wait_for_response(request)
+                endpoint_list = request.parse(response, self._options.parse)
             except (OSError, TimeoutError, ValueError) as error:
                 self._report_failure(error)
                 if not self._options.retries_forever:
@@ -121,11 +99,9 @@
                 if self._failures > 1:
                     await asyncio.sleep(PUSH_BACKOFF_S)
                 continue
-            self._failures = 0
             unchanged = endpoint_list.revision == self._revision
-            self._revision = endpoint_list.revision
-            kind = UpdateKind.COMPLETE if endpoint_list.complete else UpdateKind.DELTA
-            self._on_update(kind, endpoint_list)
+            self._late_requests.drop_all()
+            self._apply(request, endpoint_list)
             if unchanged and loop.time() - started_at_s < EMPTY_RESPONSE_PAUSE_S:
                 # If discovery responds without waiting, it would otherwise get requests in an endless loop.
                 await asyncio.sleep(EMPTY_RESPONSE_PAUSE_S)
@@ -140,12 +116,11 @@
             self._task = None
         self._on_update(UpdateKind.UNAVAILABLE, None)
 
-    async def _request_list(self) -> EndpointList:
-        """Send one watch request and return the list of its response.
+    async def _open_request(self) -> WatchRequest:
+        """Send one watch request.
 
         Raises:
-            OSError: discovery can't be reached, is too slow (TimeoutError) or closes the connection.
-            ValueError: the response can't be used.
+            OSError: discovery can't be reached, or is too slow to accept a connection (TimeoutError).
         """
         connection, wait_ms, refresh = self._connection, self._options.wait_ms, False
         if connection is None or not connection.reusable:
@@ -154,15 +129,45 @@
             # be detected too late. The first request on a connection therefore has a shorter wait.
             wait_ms = min(wait_ms, FIRST_WAIT_MS)
             refresh = self._options.refresh_on_connect
-        response = await self._send_request(connection, wait_ms, complete=refresh)
-        if response.status != HTTPStatus.OK:
-            raise WatchResponseError(f"discovery responded with status {response.status}, expected 200")
-        endpoint_list = self._options.parse(orjson.loads(response.body))
-        if refresh and not endpoint_list.complete:
-            raise WatchResponseError(
-                f"discovery sent a delta of revision {endpoint_list.revision}, expected the complete list"
-            )
-        return endpoint_list
+        grace_ms = WATCH_RESPONSE_GRACE_MS
+        if self._discovery_slow:
+            # A change within the grace period is noticed only by the next request. If responses are late
+            # anyway, the request waits instead until the next one starts.
+            wait_ms, grace_ms = wait_ms + grace_ms, 0.0
+        request = WatchRequest(connection, self._revision, wait_ms, grace_ms, complete=refresh)
+        request.send(self._address)
+        return request
+
+    async def _wait_for_response(self, request: WatchRequest) -> HttpResponse:
+        try:
+            return await request.wait()
+        except TimeoutError:
+            # If each response takes longer than the time limit, requests that are given up would never bring
+            # a list. The request therefore continues beside the next one. Trade-off: a connection each.
+            if self._options.accepts_late_responses:
+                self._connection = None
+                self._late_requests.add(request)
+            raise
+
+    def _on_late_response(self, request: WatchRequest, response: HttpResponse) -> None:
+        try:
+            endpoint_list = request.parse(response, self._options.parse)
+        except ValueError as error:
+            logger.warning("late endpoint list ignored: %s", " ".join(str(error).split()))
+            return
+        unchanged = endpoint_list.revision == request.revision
+        delay_s = request.delay_s(asyncio.get_running_loop().time())
+        self._discovery_slow = not unchanged or delay_s > RESPONSE_GRACE_S
+        self._apply(request, endpoint_list)
+
+    def _apply(self, request: WatchRequest, endpoint_list: EndpointList) -> None:
+        """Pass on a list, unless the response to another request has already brought a newer one."""
+        self._failures = 0
+        if request.revision != self._revision and endpoint_list.revision < self._revision:
+            return
+        self._revision = endpoint_list.revision
+        kind = UpdateKind.COMPLETE if endpoint_list.complete else UpdateKind.DELTA
+        self._on_update(kind, endpoint_list)
 
     async def _connect(self) -> ClientConnection:
         self._disconnect()
@@ -173,21 +178,6 @@
         self._connection = connection
         return connection
 
-    async def _send_request(
-        self, connection: ClientConnection, wait_ms: float, *, complete: bool
-    ) -> HttpResponse:
-        query = "" if complete else f"?since={self._revision}&timeout_ms={int(wait_ms)}"
-        host, port = self._address
-        request = f"GET {PATH}{query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
-        pending = _PendingResponse()
-        connection.send_request(request.encode(), pending)
-        # If the event loop runs late, the response and the expired time limit are handled in the same
-        # iteration, and `asyncio.wait_for` would drop the response. `asyncio.wait` returns it.
-        done, _ = await asyncio.wait({pending.future}, timeout=wait_ms / 1000.0 + RESPONSE_GRACE_S)
-        if not done:
-            raise TimeoutError
-        return pending.future.result()
-
     def _disconnect(self) -> None:
         if self._connection is not None:
             self._connection.abort()
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -142,4 +142,6 @@
     # discovery no longer responds. A watch request ends well before that, so that the proxy detects the
     # failure in time.
     wait_ms = min(WATCH_WAIT_MS, config.discovery_poll_deadline_ms * WATCH_WAIT_FRACTION)
-    return WatchOptions(wait_ms, retries_forever=not config.settings.polls_discovery)
+    return WatchOptions(
+        wait_ms, retries_forever=not config.settings.polls_discovery, accepts_late_responses=True
+    )
--- a/tests/discovery/test_watch_timing.py
+++ b/tests/discovery/test_watch_timing.py
@@ -11,13 +11,13 @@
 
 import pytest
 
-from loadbalancer.actions import Action, StartTimer, StartWatch
-from loadbalancer.events import Event, MembershipUpdate, TimerFired, UpdateKind
-from loadbalancer.policy.policy import LoadBalancingPolicy
+from loadbalancer.actions import StartTimer, StartWatch
+from loadbalancer.events import MembershipUpdate, TimerFired, UpdateKind
 from loadbalancer.proxy import statistics
 from loadbalancer.proxy.proxy import Proxy
 from tests.support.builders import PolicyHarness, types
 from tests.support.model_time import FAULTS, DiscoveryModel, model_loop, run_in_model_time
+from tests.support.observed_policy import ObservedPolicy
 from tests.support.proxy_config import config
 
 NOTIFICATION_LIMIT_S = 5.0  # of the 6 s allowed; the rest is for a proxy on a small share of a core
@@ -70,21 +70,6 @@
     await discovery.wait_for_attempts(1)
 
 
-class ObservedPolicy(LoadBalancingPolicy):
-    """A proxy's policy that sets an event once it has an endpoint of this name."""
-
-    def __init__(self, proxy: Proxy, endpoint: str) -> None:
-        super().__init__(proxy.settings, proxy.config.seed, proxy.clock.now_ms())
-        self.notified = asyncio.Event()
-        self._endpoint = endpoint
-
-    def handle(self, now_ms: float, event: Event) -> list[Action]:
-        actions = super().handle(now_ms, event)
-        if self._endpoint in self.endpoints.by_name:
-            self.notified.set()
-        return actions
-
-
 def longest_notification_delay(mode: str, fault: str) -> tuple[float, Outage]:
     rng = Random(f"{mode} {fault}")
     delays = {}
--- /dev/null
+++ b/tests/support/observed_policy.py
@@ -0,0 +1,25 @@
+"""A policy that reports when it is notified of an endpoint."""
+
+from __future__ import annotations
+
+import asyncio
+
+from loadbalancer.actions import Action
+from loadbalancer.events import Event
+from loadbalancer.policy.policy import LoadBalancingPolicy
+from loadbalancer.proxy.proxy import Proxy
+
+
+class ObservedPolicy(LoadBalancingPolicy):
+    """A proxy's policy that sets an event once it has an endpoint of this name."""
+
+    def __init__(self, proxy: Proxy, endpoint: str) -> None:
+        super().__init__(proxy.settings, proxy.config.seed, proxy.clock.now_ms())
+        self.notified = asyncio.Event()
+        self._endpoint = endpoint
+
+    def handle(self, now_ms: float, event: Event) -> list[Action]:
+        actions = super().handle(now_ms, event)
+        if self._endpoint in self.endpoints.by_name:
+            self.notified.set()
+        return actions
