--- a/loadbalancer/discovery_server/periodic_task.py
+++ b/loadbalancer/discovery_server/periodic_task.py
@@ -18,8 +18,9 @@
 
     def start(self) -> None:
         """Call the function now, and again after each interval."""
-        self._function()
+        # The next call is scheduled first, so that an error in this one does not end the calls.
         self._timer = self._loop.call_later(self._interval_s, self.start)
+        self._function()
 
     def close(self) -> None:
         """Stop the calls; no effect before the start."""
--- a/loadbalancer/http/request_timeouts.py
+++ b/loadbalancer/http/request_timeouts.py
@@ -46,5 +46,6 @@
                 connection.abort()
 
     def _sweep(self) -> None:
-        self.end_overdue()
+        # The next sweep is scheduled first, so that an error in this one does not end the time-outs.
         self._timer = self._loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+        self.end_overdue()
--- a/loadbalancer/proxy/statistics.py
+++ b/loadbalancer/proxy/statistics.py
@@ -136,8 +136,8 @@
         self._lag_timer = self._loop.call_at(next_s, self._check_lag, next_s)
 
     def _log_statistics(self) -> None:
+        self._log_timer = self._loop.call_later(LOG_INTERVAL_S, self._log_statistics)
         fields = self._statistics.fields() | self._gauges().fields()
         values = " ".join(f"{name}={value}" for name, value in fields.items())
         logger.info("statistics name=%s %s", self._name, values)
         self._statistics.reset()
-        self._log_timer = self._loop.call_later(LOG_INTERVAL_S, self._log_statistics)
