Contain an error in sending one response, at the one place that sends them

An error in writing one client's response left through PendingRequests.respond into the outcome of an attempt, the other actions of an event and the end of a shutdown.

Change: send_response, the only caller of HttpRequest.respond for requests that the policy has got, reports an error to the event loop's handler, which logs and counts it, and ends that client's connection.

--- a/loadbalancer/proxy/pending_request.py
+++ b/loadbalancer/proxy/pending_request.py
@@ -68,6 +68,18 @@
                 attempt.cancel()
 
 
+def send_response(http_request: HttpRequest, status: int, body: bytes, retry_after_ms: float) -> None:
+    """Send a final response; an error in that is reported and ends the client's connection."""
+    # The caller has to continue after an error: the policy needs the attempt's outcome, and an event's other
+    # actions or the end of a shutdown concern other requests.
+    try:
+        http_request.respond(status, body, retry_after_ms)
+    except Exception as error:
+        context = {"message": "response not sent", "exception": error}
+        asyncio.get_running_loop().call_exception_handler(context)
+        http_request.connection.abort()
+
+
 class PendingRequests:
     """All pending requests; sends the one final response of each."""
 
@@ -108,7 +120,7 @@
         if not pending.ended:
             self._statistics.responses[status] += 1
             self._end(pending)
-            pending.http_request.respond(status, body, retry_after_ms)
+            send_response(pending.http_request, status, body, retry_after_ms)
 
     def reject(self, request_id: str, retry_after_ms: float) -> None:
         """Reject a request with 503, if it is open; the status states that a retry is harmless."""
