--- a/loadbalancer/discovery/watch_client.py
+++ b/loadbalancer/discovery/watch_client.py
@@ -38,12 +38,12 @@
     wait_ms: float  # the longest time for which discovery may delay a response without changes
     retries_forever: bool  # False: a failed watch request ends the watch, and the owner starts the next one
     refresh_on_connect: bool = False  # the first request on each connection asks for the complete list
-    accepts_late_responses: bool = False  # a late request continues beside the next one
+    accepts_late_responses: bool = False  # a late request continues in parallel with the next
     parse: Callable[[object], EndpointList] = parse_endpoint_list  # raises ValueError
 
 
 class WatchClient:
-    """Follows the endpoint list at one address, with one watch request at a time, beside late ones.
+    """Follows the endpoint list at one address, with one watch request at a time and the late ones.
 
     `on_update` receives each response, including those without changes, and UNAVAILABLE for each failure.
     """
@@ -143,7 +143,7 @@
             return await request.wait()
         except TimeoutError:
             # If each response takes longer than the time limit, requests that are given up would never bring
-            # a list. The request therefore continues beside the next one. Trade-off: a connection each.
+            # a list. The request therefore continues in parallel with the next. Trade-off: one connection each.
             if self._options.accepts_late_responses:
                 self._connection = None
                 self._late_requests.add(request)
--- a/loadbalancer/discovery/watch_request.py
+++ b/loadbalancer/discovery/watch_request.py
@@ -41,7 +41,7 @@
         *,
         complete: bool,
     ) -> None:
-        """A request that discovery may leave without a response for `wait_ms` while nothing changes.
+        """A request to which discovery responds after `wait_ms` at the latest if nothing changes.
 
         Its response is late if it arrives more than `grace_ms` after that.
         """
--- a/loadbalancer/http/protocol.py
+++ b/loadbalancer/http/protocol.py
@@ -46,7 +46,7 @@
     def _end_sending(self) -> None:
         """End the sending side if all bytes are sent; abort the connection if its peer has closed it."""
         # asyncio's `write_eof` raises an error if the peer has closed the connection. The error would reach
-        # whoever made the connection respond: a shutdown, the time-outs or the connection to an endpoint.
+        # any caller that responds to a request: a shutdown, the time-outs or the connection to an endpoint.
         if self._transport.is_closing() or self.unsent_bytes:
             return
         if not shut_down_sending(self._transport):
--- a/tests/proxy/test_disconnects_at_response.py
+++ b/tests/proxy/test_disconnects_at_response.py
@@ -96,7 +96,7 @@
 async def test_actions_after_a_rejection_are_executed_although_the_client_disconnects(
     proxy, leaving_client, monkeypatch
 ):
-    """Without the fix the error of the first rejection leaves the second request without a response."""
+    """Without the fix an error of the first rejection prevents the response to the second request."""
     disconnect_at_response(monkeypatch, leaving_client, b"abandoned")
     reject_both = [Reject("abandoned"), Reject("q1")]
     script_policy(proxy, acting_on(lambda event: reject_both if event.request_id == "q1" else []))
