--- a/loadbalancer/discovery/watch_client.py
+++ b/loadbalancer/discovery/watch_client.py
@@ -143,7 +143,7 @@
             return await request.wait()
         except TimeoutError:
             # If each response takes longer than the time limit, requests that are given up would never bring
-            # a list. The request therefore continues in parallel with the next. Trade-off: one connection each.
+            # a list. The request therefore continues in parallel with the next. Trade-off: more connections.
             if self._options.accepts_late_responses:
                 self._connection = None
                 self._late_requests.add(request)
