Log and count why connections are closed and requests refused, and the memory used

Change: the statistics line begins with the resident memory, now and at most, and ends with the bytes that clients' connections hold; closes are counted by reason, refusals too, and the first three of each reason in 10 s are logged with client or id. A change of the ready endpoints is logged. No decision changes. The test of the start's imports lists the three new modules.

The start was not measured for this commit.

--- a/loadbalancer/http/connection_registry.py
+++ b/loadbalancer/http/connection_registry.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from loadbalancer.http.close_reason import CloseReason
+
 
 class RegisteredConnection(Protocol):
     """The interface of a downstream connection for the registry, eviction and the time-outs."""
@@ -17,8 +19,23 @@
     def unsent_bytes(self) -> int:
         """Bytes of responses that are not sent yet because the client reads too slowly."""
 
-    def close_if_idle(self, *, abort_partial_unidentified: bool = False) -> bool:
-        """Abort the connection if no data is lost by it; return whether it is aborted."""
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of requests and responses that the connection holds in the process."""
+
+    @property
+    def peer(self) -> str:
+        """The client's address as `host:port`; "" if it is not known."""
+
+    @property
+    def open_request_count(self) -> int:
+        """Complete requests without a response."""
+
+    def close_if_idle(self, reason: CloseReason, *, abort_partial_unidentified: bool = False) -> bool:
+        """Close the connection if no data is lost by it; return whether it is closed."""
+
+    def close(self, reason: CloseReason) -> None:
+        """Close at once and discard unsent bytes; `reason` is recorded."""
 
     def expire(self) -> None:
         """End the connection on the time-out of its phase, with 408 if a request is partly received."""
@@ -27,6 +44,14 @@
         """Close at once and discard unsent bytes."""
 
 
+CloseCallback = Callable[[RegisteredConnection, CloseReason], None]
+"""Receives a connection right before it is closed, and the reason."""
+
+
+def _ignore_close(connection: RegisteredConnection, reason: CloseReason) -> None:
+    """The callback of a registry whose owner records no reasons."""
+
+
 class ConnectionPhase:
     """The connections that are in one phase.
 
@@ -58,6 +83,7 @@
     Attributes:
         limit: Maximum number of open connections; beyond it the listener evicts connections.
         clock: Returns the event loop's time in seconds.
+        on_close: Called with each connection that the server side decides to close, and the reason.
         connections: All open connections.
         awaiting_request: The phase before the first request, and while a request is partly received.
         idle: The phase between two requests of an identified client.
@@ -67,6 +93,7 @@
     def __init__(self, limit: int, clock: Callable[[], float]) -> None:
         self.limit = limit
         self.clock = clock
+        self.on_close: CloseCallback = _ignore_close
         self.connections: set[RegisteredConnection] = set()
         self.awaiting_request = ConnectionPhase()
         self.idle = ConnectionPhase()
@@ -101,4 +128,4 @@
     def close_idle(self) -> None:
         """Close the connections that await a request or are idle, unless data would be lost."""
         for connection in [*self.awaiting_request.connections, *self.idle.connections]:
-            connection.close_if_idle()
+            connection.close_if_idle(CloseReason.SHUTDOWN)
--- a/loadbalancer/http/eviction.py
+++ b/loadbalancer/http/eviction.py
@@ -4,6 +4,7 @@
 
 from itertools import islice
 
+from loadbalancer.http.close_reason import CloseReason
 from loadbalancer.http.connection_registry import ConnectionRegistry
 
 IDLE_GRACE_S = 2.0  # idle time before a new connection may evict one; a request may evict it earlier
@@ -35,7 +36,7 @@
     """Abort a connection whose last response has been sent."""
     for connection in islice(registry.lingering.connections, MAX_CANDIDATES_EXAMINED):
         if not connection.unsent_bytes:
-            connection.abort()
+            connection.close(CloseReason.EVICTED)
             return True
     return False
 
@@ -48,7 +49,7 @@
         connection for connection in registry.awaiting_request.connections if not connection.identified
     )
     for connection in islice(unidentified, MAX_CANDIDATES_EXAMINED):
-        if connection.close_if_idle(abort_partial_unidentified=True):
+        if connection.close_if_idle(CloseReason.EVICTED, abort_partial_unidentified=True):
             return True
     return False
 
@@ -57,7 +58,7 @@
     """Close the connection with the longest idle time, if that is at least the grace period."""
     latest = registry.clock() - grace_s
     for connection in islice(registry.idle.connections, MAX_CANDIDATES_EXAMINED):
-        if connection.phase_since <= latest and connection.close_if_idle():
+        if connection.phase_since <= latest and connection.close_if_idle(CloseReason.EVICTED):
             return True
     return False
 
@@ -65,6 +66,6 @@
 def _evict_unread(registry: ConnectionRegistry) -> bool:
     """Abort the connection that lingers longest, although its client is still reading the last response."""
     for connection in registry.lingering.connections:
-        connection.abort()
+        connection.close(CloseReason.EVICTED)
         return True
     return False
--- a/loadbalancer/http/listener.py
+++ b/loadbalancer/http/listener.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from loadbalancer.http.addresses import Address, socket_address
+from loadbalancer.http.close_reason import CloseReason
 from loadbalancer.http.connection_registry import ConnectionRegistry, RegisteredConnection
 from loadbalancer.http.eviction import IDLE_GRACE_S, evict_over_limit
 from loadbalancer.http.listening_sockets import ListeningSockets
@@ -112,6 +113,6 @@
         # excess a new connection is therefore aborted.
         highest = registry.limit + EXCESS_ACCEPT_BATCHES * self.accept_batch
         if not self.ensure_capacity() and len(registry.connections) > highest:
-            connection.abort()
+            connection.close(CloseReason.OVER_LIMIT)
         else:
             registry.move_to_phase(connection, registry.awaiting_request)
--- a/loadbalancer/http/request.py
+++ b/loadbalancer/http/request.py
@@ -43,11 +43,17 @@
     target: bytes = b""
     headers: dict[bytes, bytes] = field(default_factory=dict)  # by lower-case name
     body: bytearray = field(default_factory=bytearray)
+    head_bytes: int = 0  # of the target and of the names and values of the headers
     keep_alive: bool = True
     dispatched: bool = False
     responded: bool = False
     on_disconnect: Callable[[], None] | None = None  # called if the client disconnects before the response
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the request that are held in the process."""
+        return self.head_bytes + len(self.body)
+
     @property
     def client_disconnected(self) -> bool:
         """Whether the client has disconnected, even if the event loop has not delivered that yet."""
--- a/loadbalancer/http/request_parser.py
+++ b/loadbalancer/http/request_parser.py
@@ -52,6 +52,12 @@
         self._section_bytes = 0  # counted against the limit of the head or of the body
         self._unparsed_bytes = 0  # in the latest reads; limited by `MAX_UNPARSED_BYTES`
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the requests that are held in the process, the partly received one included."""
+        partial = 0 if self.partial is None else self.partial.held_bytes
+        return partial + sum([request.held_bytes for request in self.requests])
+
     def feed(self, data: bytes) -> None:
         """Parse the next bytes; must not be called after `close`. Raises nothing."""
         # The parser keeps an incomplete header, trailer or chunk size without reporting it, so that an
@@ -99,6 +105,7 @@
             self._fail_oversized(HTTPStatus.BAD_REQUEST)
         if self.partial is not None:
             self.partial.target += url
+            self.partial.head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; a repeated single-value header or a trailer is a fault."""
@@ -113,6 +120,7 @@
         if not self._in_head or (name in SINGLE_VALUE_HEADERS and name in request.headers):
             self.fault = HTTPStatus.BAD_REQUEST
         request.headers[name] = value
+        request.head_bytes += len(name) + len(value)
 
     def on_headers_complete(self) -> None:
         """Check the framing, target, version and expectation that the complete head declares."""
--- a/loadbalancer/http/request_timeouts.py
+++ b/loadbalancer/http/request_timeouts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from loadbalancer.http.close_reason import CloseReason
 from loadbalancer.http.connection_registry import ConnectionRegistry
 
 REQUEST_TIMEOUT_S = 2.5  # for a complete request, from connecting or from its first byte
@@ -42,8 +43,10 @@
         for connection in registry.lingering.entered_until(now - LINGER_TIMEOUT_S):
             # Ending the connection truncates a last response that its client reads slowly. A connection with
             # unsent bytes therefore has the longer time-out.
-            if not connection.unsent_bytes or connection.phase_since <= now - UNREAD_TIMEOUT_S:
+            if not connection.unsent_bytes:
                 connection.abort()
+            elif connection.phase_since <= now - UNREAD_TIMEOUT_S:
+                connection.close(CloseReason.UNREAD_RESPONSE)
 
     def _sweep(self) -> None:
         # The next sweep is scheduled first, so that an error in this one does not end the time-outs.
--- a/loadbalancer/http/server_connection.py
+++ b/loadbalancer/http/server_connection.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from loadbalancer.http.close_reason import CloseReason
 from loadbalancer.http.connection_registry import ConnectionPhase, ConnectionRegistry
 from loadbalancer.http.protocol import HttpProtocol
 from loadbalancer.http.request import HttpRequest
@@ -55,8 +56,24 @@
         """Whether the client has disconnected, even if the event loop has not delivered that yet."""
         return self._transport.is_closing() or peer_has_closed(self._transport)
 
-    def close_if_idle(self, *, abort_partial_unidentified: bool = False) -> bool:
-        """Abort the connection if no data is lost by it; return whether it is aborted.
+    @property
+    def peer(self) -> str:
+        """The client's address as `host:port`; "" if the connection is lost before it is known."""
+        address = self._transport.get_extra_info("peername")
+        return "{}:{}".format(*address) if address else ""
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of requests and responses that the connection holds in the process."""
+        return self._parser.held_bytes + self.unsent_bytes
+
+    @property
+    def open_request_count(self) -> int:
+        """Complete requests without a response."""
+        return len(self._parser.requests)
+
+    def close_if_idle(self, reason: CloseReason, *, abort_partial_unidentified: bool = False) -> bool:
+        """Close the connection if no data is lost by it; return whether it is closed.
 
         It stays open if a request is open or partly received, or if there are unsent or unread bytes. With
         `abort_partial_unidentified` a partly received request of an unidentified client is discarded.
@@ -66,9 +83,14 @@
         # Aborting discards the part of a response that a slow client has not read yet.
         if parser.requests or partial or self.unsent_bytes or has_unread_data(self._transport):
             return False
-        self.abort()
+        self.close(reason)
         return True
 
+    def close(self, reason: CloseReason) -> None:
+        """Close at once and discard unsent bytes; `reason` is recorded."""
+        self._registry.on_close(self, reason)
+        self.abort()
+
     def abort(self) -> None:
         """Close at once and discard unsent bytes."""
         self._closing = True
@@ -80,9 +102,10 @@
         if self._closing:
             self.abort()
         elif self._parser.partial is not None:
-            self._respond_to_fault(HTTPStatus.REQUEST_TIMEOUT)
+            self._respond_to_fault(HTTPStatus.REQUEST_TIMEOUT, CloseReason.REQUEST_TIMEOUT)
         else:
-            self.close_if_idle()
+            idle = self.phase is self._registry.idle
+            self.close_if_idle(CloseReason.IDLE_TIMEOUT if idle else CloseReason.NO_REQUEST)
 
     def respond(self, request: HttpRequest, status: int, body: bytes, retry_after_ms: float) -> None:
         """Write the response to the oldest request; no effect for another, or on a closing connection."""
@@ -99,7 +122,7 @@
         elif requests:
             self._owner.loop.call_soon(self._dispatch)
         elif parser.fault is not None:
-            self._respond_to_fault(parser.fault)
+            self._respond_to_fault(parser.fault, CloseReason.MALFORMED)
         else:
             awaiting = parser.partial is not None or not self.identified
             registry.move_to_phase(self, registry.awaiting_request if awaiting else registry.idle)
@@ -128,7 +151,7 @@
             registry.move_to_phase(self, None)
             self._dispatch()
         elif parser.fault is not None:
-            self._respond_to_fault(parser.fault)
+            self._respond_to_fault(parser.fault, CloseReason.MALFORMED)
         elif parser.partial is not None:
             # A client that keeps sending single bytes would hold its connection open without end. One
             # time-out therefore covers the complete request, and only its first byte restarts it.
@@ -164,8 +187,9 @@
         else:
             self._owner.on_request(request)
 
-    def _respond_to_fault(self, status: HTTPStatus) -> None:
+    def _respond_to_fault(self, status: HTTPStatus, reason: CloseReason) -> None:
         """Respond to bytes that are not a valid request, and end the connection."""
+        self._registry.on_close(self, reason)
         self._transport.write(encode_response_head(status, 0, 0.0, close=True))
         self._close_after_response()
 
--- a/loadbalancer/proxy/membership.py
+++ b/loadbalancer/proxy/membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Set
 
 from loadbalancer.discovery.endpoint_list import EndpointList
@@ -10,6 +11,8 @@
 from loadbalancer.proxy.connection_pool import ConnectionPool
 from loadbalancer.proxy.statistics import Statistics
 
+logger = logging.getLogger(__name__)
+
 
 class Membership:
     """The endpoints that requests may be sent to, and the proxy's readiness, which depends on them."""
@@ -47,6 +50,7 @@
         removed = listed - ready
         for name in removed:
             self._pool.remove(name)
+        self._log_changes(endpoint_list, ready - self._ready_endpoints, removed & self._ready_endpoints)
         self._ready_endpoints = (self._ready_endpoints | ready) - removed
         self._update_readiness()
 
@@ -64,6 +68,16 @@
                 self._pool.add(endpoint.name, endpoint_list.addresses[endpoint.name], endpoint.started_ms)
         return ready
 
+    def _log_changes(self, endpoint_list: EndpointList, added: Set[str], removed: Set[str]) -> None:
+        if added or removed:
+            logger.info(
+                "endpoints changed revision=%d added=%d removed=%d example=%s",
+                endpoint_list.revision,
+                len(added),
+                len(removed),
+                min(removed or added),
+            )
+
     def _update_readiness(self) -> None:
         """Make the proxy ready from its first ready endpoint until the shutdown begins."""
         has_had_endpoints = self._listener.ready or bool(self._ready_endpoints)
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -140,6 +140,7 @@
             cursor=self.policy.cursor,
             downstream_connections=len(self.listener.connections),
             upstream_connections=self.pool.size,
+            held_bytes=sum(connection.held_bytes for connection in self.listener.connections),
         )
 
 
--- a/loadbalancer/proxy/request_intake.py
+++ b/loadbalancer/proxy/request_intake.py
@@ -8,6 +8,7 @@
 from loadbalancer.http.request import HttpRequest
 from loadbalancer.proxy.clock import Clock
 from loadbalancer.proxy.config import Config
+from loadbalancer.proxy.decision_log import DecisionLog, RefusalReason
 from loadbalancer.proxy.pending_request import PendingRequests
 from loadbalancer.proxy.request_parsing import BadRequestError, parse_request
 from loadbalancer.proxy.statistics import Statistics
@@ -29,6 +30,8 @@
         self._clock = clock
         self._requests = requests
         self._statistics = statistics
+        self._decision_log = DecisionLog(config.name, statistics)
+        self.listener.registry.on_close = self._decision_log.record_close
 
     def _on_request(self, http_request: HttpRequest) -> None:
         """Handle a completely received request."""
@@ -36,22 +39,23 @@
         try:
             pending = parse_request(http_request, self._service_classes, self._requests.by_id, self._clock)
         except BadRequestError as error:
-            self._statistics.bad_requests[error.status] += 1
+            self._decision_log.record_bad_request(http_request, error.status, error.field)
             http_request.respond(error.status)
             return
-        if not self._has_capacity():
+        refusal = self._refusal()
+        if refusal is not None:
             # The request has not been forwarded, so a client can safely retry it: it is rejected, not failed.
-            self._statistics.requests_over_limit += 1
+            self._decision_log.record_refusal(http_request, refusal)
             http_request.respond(HTTPStatus.SERVICE_UNAVAILABLE)
             return
         self._requests.add(pending)
 
-    def _has_capacity(self) -> bool:
-        """Returns whether one more request may be open; may evict an idle connection to free capacity."""
+    def _refusal(self) -> RefusalReason | None:
+        """Return why no more request may be open, None if one may; may evict an idle connection."""
         # While a replica restarts, many connections that are idle for a short time can use up the connection
         # limit, and requests would be rejected although few are open. A complete request therefore evicts
         # the connection that has been idle for longest, without the grace period that applies to evictions
         # for a new connection. Trade-off: the evicted client has to connect again, which can be expensive.
-        return self._requests.open_count < self._max_open_requests and self.listener.ensure_capacity(
-            grace_s=0.0
-        )
+        if self._requests.open_count >= self._max_open_requests:
+            return RefusalReason.OPEN_REQUESTS
+        return None if self.listener.ensure_capacity(grace_s=0.0) else RefusalReason.CONNECTIONS
--- a/loadbalancer/proxy/statistics.py
+++ b/loadbalancer/proxy/statistics.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from loadbalancer.events import UpdateKind
+from loadbalancer.proxy.process_memory import read_process_memory
 
 logger = logging.getLogger(__name__)
 
@@ -22,6 +23,8 @@
     Attributes:
         requests_received: complete requests, including those that are not passed to the policy.
         requests_over_limit: requests that get 503 because too many requests or connections are open.
+        refused_requests: those of them, by the value of their `RefusalReason`.
+        closed_connections: connections that the proxy decides to close, by the value of their `CloseReason`.
         bad_requests: requests that are refused as invalid, by status.
         responses: final responses to requests that are passed to the policy, by status.
         attempts: ended attempts, by the value of their result.
@@ -38,11 +41,13 @@
         "attempts",
         "bad_requests",
         "client_disconnects",
+        "closed_connections",
         "endpoint_lists",
         "event_loop_errors",
         "event_loop_lag_s",
         "missed_deadlines",
         "policy_faults",
+        "refused_requests",
         "requests_over_limit",
         "requests_received",
         "responses",
@@ -56,6 +61,8 @@
         """Set all counters to zero."""
         self.requests_received = 0
         self.requests_over_limit = 0
+        self.refused_requests: Counter[str] = Counter()
+        self.closed_connections: Counter[str] = Counter()
         self.bad_requests: Counter[int] = Counter()
         self.responses: Counter[int] = Counter()
         self.attempts: Counter[str] = Counter()
@@ -77,6 +84,8 @@
             "missed_deadlines": self.missed_deadlines,
             "policy_faults": self.policy_faults,
             "event_loop_errors": self.event_loop_errors,
+            **{f"refused_{reason}": count for reason, count in sorted(self.refused_requests.items())},
+            **{f"closed_{reason}": count for reason, count in sorted(self.closed_connections.items())},
             **{f"bad_requests_{status}": count for status, count in sorted(self.bad_requests.items())},
             **{f"responses_{status}": count for status, count in sorted(self.responses.items())},
             **{f"attempts_{result}": count for result, count in sorted(self.attempts.items())},
@@ -93,12 +102,14 @@
         cursor: the position of the policy's cursor; 0 admits the most.
         downstream_connections: open connections from clients.
         upstream_connections: connections to endpoints that are open or being established.
+        held_bytes: bytes of clients' requests and responses that are held in the process.
     """
 
     open_requests: int
     cursor: int
     downstream_connections: int
     upstream_connections: int
+    held_bytes: int = 0
 
     def fields(self) -> dict[str, int]:
         """Each gauge by its name in the log."""
@@ -107,6 +118,7 @@
             "cursor": self.cursor,
             "downstream_connections": self.downstream_connections,
             "upstream_connections": self.upstream_connections,
+            "held_bytes": self.held_bytes,
         }
 
 
@@ -141,7 +153,8 @@
 
     def _log_statistics(self) -> None:
         self._log_timer = self._loop.call_later(LOG_INTERVAL_S, self._log_statistics)
-        fields = self._statistics.fields() | self._gauges().fields()
+        # The memory is first, so that a line that a log collector cuts still has it.
+        fields = read_process_memory().fields() | self._statistics.fields() | self._gauges().fields()
         values = " ".join(f"{name}={value}" for name, value in fields.items())
         logger.info("statistics name=%s %s", self._name, values)
         self._statistics.reset()
--- a/tests/proxy/test_start.py
+++ b/tests/proxy/test_start.py
@@ -22,7 +22,7 @@
         *("addresses", "client_connection", "connection_registry", "eviction", "listener"),
         *("listening_sockets", "message_sizes", "protocol", "request", "request_parser"),
         *("request_timeouts", "response_head", "response_parser", "server_connection"),
-        "socket_state",
+        *("close_reason", "socket_state"),
     },
     "loadbalancer.policy": {
         *("admission", "attempts", "completion_rate", "cursor_table", "discovery_backoff"),
@@ -31,8 +31,9 @@
         *("selection", "slow_start", "tenant_quota", "tracked_endpoint"),
     },
     "loadbalancer.proxy": {
-        *("clock", "config", "connection_pool", "graceful_shutdown", "membership", "pending_request"),
-        *("policy_runner", "proxy", "request_forwarding", "request_intake", "request_parsing"),
+        *("clock", "config", "connection_pool", "decision_log", "graceful_shutdown", "membership"),
+        *("pending_request", "policy_runner", "process_memory"),
+        *("proxy", "request_forwarding", "request_intake", "request_parsing"),
         *("statistics", "upstream_attempt"),
     },
 }
--- a/tests/proxy/test_statistics.py
+++ b/tests/proxy/test_statistics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 from loadbalancer.events import UpdateKind
 from loadbalancer.proxy import statistics as statistics_module
 from loadbalancer.proxy.statistics import Gauges, Statistics, StatisticsLog
@@ -25,13 +27,15 @@
 async def test_log_line_has_counters_and_gauges_and_resets_the_counters(caplog):
     statistics = Statistics()
     statistics.missed_deadlines = 1
-    gauges = Gauges(open_requests=7, cursor=2, downstream_connections=8, upstream_connections=9)
+    gauges = Gauges(open_requests=7, cursor=2, downstream_connections=8, upstream_connections=9, held_bytes=5)
     log = StatisticsLog("n0", statistics, lambda: gauges)
     with caplog.at_level("INFO", logger=statistics_module.logger.name):
         log.start()
         log.close()
     (line,) = [record.getMessage() for record in caplog.records]
-    assert line.startswith("statistics name=n0 ")
+    assert re.match(r"statistics name=n0 memory_mb=[1-9]\d* peak_memory_mb=[1-9]\d* ", line)
     assert {"missed_deadlines=1", "open_requests=7", "requests_received=0"} <= set(line.split())
-    assert line.endswith(" open_requests=7 cursor=2 downstream_connections=8 upstream_connections=9")
+    assert line.endswith(
+        " open_requests=7 cursor=2 downstream_connections=8 upstream_connections=9 held_bytes=5"
+    )
     assert statistics.missed_deadlines == 0
--- a/tests/test_external_names.py
+++ b/tests/test_external_names.py
@@ -31,9 +31,12 @@
 from loadbalancer.discovery_server.statistics import ServerStatistics
 from loadbalancer.events import AttemptResult, UpdateKind
 from loadbalancer.http import request_parser, server_connection
+from loadbalancer.http.close_reason import CloseReason
 from loadbalancer.http.response_head import encode_response_head
 from loadbalancer.platform_settings import LOAD_REPORT_FIELDS, REPORT_FORMAT
 from loadbalancer.proxy import request_forwarding, request_parsing, upstream_attempt
+from loadbalancer.proxy.decision_log import RefusalReason
+from loadbalancer.proxy.process_memory import ProcessMemory
 from loadbalancer.proxy.statistics import Gauges, Statistics
 from loadbalancer.simulator_wire import (
     ATTEMPT_RESULTS,
@@ -115,6 +118,10 @@
     "watch, log": set(log_events("discovery")),
     "discovery server, log": set(log_events("discovery_server")),
     "proxy, counters and gauges": [*Statistics().fields(), *Gauges._fields],
+    "memory gauges, reasons to close and to refuse": [
+        *ProcessMemory(0, 0).fields(),
+        *[reason.value for reason in (*CloseReason, *RefusalReason)],
+    ],
     "attempts_ and endpoint_lists_": [result.value for result in AttemptResult]
     + [kind.name.lower() for kind in UpdateKind],
     "discovery server, counters and gauges": columns(ServerStatistics),
@@ -145,7 +152,10 @@
 # A case: its title and the expected names, separated by "|". A line that begins with "|" continues the case.
 EXPECTED = """\
 proxy, log = discovery address set name=%s address=%s:%d|configuration changes wait for the next start name=%s
-|statistics name=%s %s|policy fault event=%s|proxy serving name=%s address=%s:%d|proxy stopping name=%s
+|endpoints changed revision=%d added=%d removed=%d example=%s
+|connection closed name=%s reason=%s client=%s open_requests=%d held_bytes=%d
+|request refused name=%s id=%s reason=%s|statistics name=%s %s|policy fault event=%s
+|proxy serving name=%s address=%s:%d|proxy stopping name=%s
 |bad configuration, keeping the one in force cause=%s|event loop error cause=%s exc_info
 watch, log = endpoint list unavailable, keeping last known good: %s|late endpoint list ignored: %s
 discovery server, log = snapshot rejected list error|snapshot loaded list revision entries
@@ -155,7 +165,9 @@
 |fewer descriptors than connections connections available
 proxy, counters and gauges = requests_received|requests_over_limit|client_disconnects
 |unread_client_disconnects|missed_deadlines|policy_faults|event_loop_errors|event_loop_lag_ms|open_requests
-|cursor|downstream_connections|upstream_connections
+|cursor|downstream_connections|upstream_connections|held_bytes
+memory gauges, reasons to close and to refuse = memory_mb|peak_memory_mb|evicted|over_limit|no_request
+|request_timeout|idle_timeout|unread_response|malformed|shutdown|open_requests|connections
 attempts_ and endpoint_lists_ = ok|error|rejected|timeout|connect_failed|reset|cancelled|not_sent|delta
 |complete|cached|unavailable
 discovery server, counters and gauges = lists|initialized_lists|connected_upstreams|connections
