--- /dev/null
+++ b/tests/proxy/test_memory_limit.py
@@ -0,0 +1,123 @@
+"""A proxy process stays within its memory limit, whatever its clients send, hold back or leave unread."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import re
+import resource
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from itertools import islice, product
+from pathlib import Path
+from string import ascii_lowercase
+
+import pytest
+
+from loadbalancer.http.addresses import Address
+from tests.support.loopback import LoopbackServer, ScriptedDiscovery, always
+from tests.support.messages import request, response_bytes, targets
+from tests.support.program import (
+    READINESS_REQUEST,
+    free_address,
+    running_program,
+    send_until_response,
+    write_config,
+)
+from tests.support.proxy_config import config_document
+
+LEAST_MEMORY_MB = 32  # the least memory and the most descriptors that the platform's pages name
+MOST_DESCRIPTORS = 1024
+CLIENTS = 550  # fewer than the connections that these descriptors allow
+UNREAD_REQUESTS = 1000
+UNREAD_PAUSE_S = 0.002
+LARGE_BODY = b"b" * 65536
+
+
+def short_fields(count: int) -> bytes:
+    """Header lines with different names of three letters, and no values."""
+    names = islice(product(ascii_lowercase, repeat=3), count)
+    return b"".join("{}{}{}:\r\n".format(*name).encode() for name in names)
+
+
+HEAD = b"POST /post/1 HTTP/1.1\r\nHost: x\r\nReq-Id: %d\r\n"
+HALF_BODY = HEAD + b"Content-Length: 65536\r\n\r\n" + LARGE_BODY[:-1]
+HEAD_OF_SHORT_FIELDS = HEAD + short_fields(5000)
+PIPELINED_BODIES = 20 * (HEAD + b"Content-Length: 30000\r\n\r\n" + LARGE_BODY[:30000])
+
+
+async def send_and_wait(address: Address, number: int, data: bytes) -> None:
+    """Send the bytes and wait for an error or for the end of the connection."""
+    with contextlib.suppress(OSError):
+        reader, writer = await asyncio.open_connection(*address)
+        try:
+            writer.write(data.replace(b"%d", b"%d" % number))
+            await reader.read(1)
+        finally:
+            writer.transport.abort()
+
+
+async def read_nothing(address: Address, number: int, data: bytes) -> None:
+    """Send requests one after the other, faster than their responses are read, which is never."""
+    with socket.socket() as client:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.setblocking(False)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(client, address)
+        with contextlib.suppress(OSError):
+            for index in range(UNREAD_REQUESTS):
+                client.send(data.replace(b"%d", b"%d-%d" % (number, index)))
+                await asyncio.sleep(UNREAD_PAUSE_S)
+
+
+ClientScript = Callable[[Address, int, bytes], Awaitable[None]]
+CASES = [
+    pytest.param(CLIENTS, send_and_wait, HALF_BODY, id="half bodies"),
+    pytest.param(CLIENTS, send_and_wait, HEAD_OF_SHORT_FIELDS, id="heads of short fields"),
+    pytest.param(CLIENTS, send_and_wait, PIPELINED_BODIES, id="pipelined bodies"),
+    pytest.param(8, read_nothing, request(name="%d"), id="unread responses"),
+    pytest.param(8, read_nothing, request("none", name="%d"), id="unread errors"),
+]
+
+
+@pytest.fixture(autouse=True)
+def descriptors_for_clients() -> Iterator[None]:
+    """Raise the limit of this process, which has the clients; only the proxy has few descriptors."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(hard, 8192)), hard))
+    yield
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def peak_memory_mb(pid: int) -> float:
+    """The most resident memory that a process has had, mapped files included."""
+    found = re.search(r"VmHWM:\s+(\d+) kB", Path(f"/proc/{pid}/status").read_text())
+    assert found is not None, f"process {pid} has ended"
+    return int(found[1]) / 1024
+
+
+@contextlib.asynccontextmanager
+async def smallest_proxy(folder: Path) -> AsyncIterator[tuple[int, Address]]:
+    """A proxy process with the least memory and the most descriptors; its process id and address."""
+    address = free_address()
+    backend = LoopbackServer(always(response_bytes(body=LARGE_BODY)))
+    async with backend, ScriptedDiscovery() as discovery:
+        document = config_document(
+            discovery.endpoint,
+            known=targets(s0=(backend.endpoint, "Ready")),
+            limits={"cores": 1.0, "memory_mb": LEAST_MEMORY_MB, "sockets": MOST_DESCRIPTORS},
+        )
+        with running_program(write_config(folder, document, address), MOST_DESCRIPTORS) as program:
+            await send_until_response(address, READINESS_REQUEST)
+            yield program.pid, address
+
+
+@pytest.mark.parametrize(("clients", "script", "data"), CASES)
+async def test_process_stays_within_the_least_memory(
+    clients: int, script: ClientScript, data: bytes, tmp_path
+):
+    """Guards against what clients leave incomplete or unread being held without a common limit."""
+    async with smallest_proxy(tmp_path) as (pid, address):
+        await asyncio.gather(*[script(address, number, data) for number in range(clients)])
+        assert (await send_until_response(address, request(name="usual"))).status == 200
+        assert peak_memory_mb(pid) < LEAST_MEMORY_MB
