Keep only the headers of a message that are read, not every field

What callers saw: processes over their memory limit while some hundred clients sent heads of very many short fields.

Cause: both parsers stored each header in a map. The limit of 16 KiB counts names and values; a field of three letters without a value takes about 200 bytes as two objects and an entry of the map, so that one head took up to a megabyte.

Change: a header outside the ones that the program reads or forwards is counted against the limit and dropped. Forwarded headers, faults and limits are the same.

--- a/loadbalancer/http/request.py
+++ b/loadbalancer/http/request.py
@@ -41,7 +41,7 @@
     received_at: float = 0.0  # the event loop's time in seconds at which the last byte is parsed
     method: bytes = b""
     target: bytes = b""
-    headers: dict[bytes, bytes] = field(default_factory=dict)  # by lower-case name
+    headers: dict[bytes, bytes] = field(default_factory=dict)  # the ones that are read, by lower-case name
     body: bytearray = field(default_factory=bytearray)
     head_bytes: int = 0  # of the target and of the names and values of the headers
     keep_alive: bool = True
--- a/loadbalancer/http/request_parser.py
+++ b/loadbalancer/http/request_parser.py
@@ -16,8 +16,10 @@
 SUPPORTED_VERSIONS = ("1.1", "1.0")
 TARGET_PATTERN = re.compile(rb"/[\x21-\x7e]*")
 
+# The headers that are read or forwarded; others are counted against the limits and dropped, since a stored
+# header takes some hundred bytes in addition to its own.
 # If a header occurs twice, this server may use one value and a server that the request is forwarded to the
-# other. A second occurrence of any header that either of them reads is therefore a fault.
+# other. A second occurrence of any of these is therefore a fault.
 SINGLE_VALUE_HEADERS = frozenset(
     b"host req-id idempotency-key req-owner req-retry req-cost req-extra req-deadline-ms".split()
     + b"accept content-type content-encoding content-length transfer-encoding expect".split()
@@ -108,7 +110,7 @@
             self.partial.head_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header; a repeated single-value header or a trailer is a fault."""
+        """Add a header that is read; a repeated single-value header or a trailer is a fault."""
         self._section_bytes += len(name) + len(value)
         if self._section_bytes > MAX_HEAD_BYTES:
             self._fail_oversized(HTTPStatus.BAD_REQUEST)
@@ -117,10 +119,11 @@
             return
         name = name.lower()
         # A trailer could overwrite a header that is already checked, and is therefore a fault.
-        if not self._in_head or (name in SINGLE_VALUE_HEADERS and name in request.headers):
+        if not self._in_head or name in request.headers:
             self.fault = HTTPStatus.BAD_REQUEST
-        request.headers[name] = value
-        request.head_bytes += len(name) + len(value)
+        elif name in SINGLE_VALUE_HEADERS:
+            request.headers[name] = value
+            request.head_bytes += len(name) + len(value)
 
     def on_headers_complete(self) -> None:
         """Check the framing, target, version and expectation that the complete head declares."""
--- a/loadbalancer/http/response_parser.py
+++ b/loadbalancer/http/response_parser.py
@@ -9,6 +9,9 @@
 
 from loadbalancer.http.message_sizes import MAX_HEAD_BYTES, MAX_UNPARSED_BYTES
 
+# The headers that are read; others are counted against the limit and dropped, since a stored header takes
+# some hundred bytes in addition to its own.
+READ_HEADERS = frozenset(b"content-length transfer-encoding srv-declined srv-load".split())
 FIRST_FINAL_STATUS = int(HTTPStatus.OK)  # responses with a lower one are interim
 
 
@@ -17,7 +20,7 @@
     """The final response to one request; interim ones are discarded."""
 
     status: int = 0
-    headers: dict[bytes, bytes] = field(default_factory=dict)  # by lower-case name
+    headers: dict[bytes, bytes] = field(default_factory=dict)  # those of `READ_HEADERS`, by lower-case name
     body: bytearray = field(default_factory=bytearray)
 
 
@@ -82,12 +85,13 @@
             self.unusable = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header; trailers are ignored."""
+        """Add a header that is read; trailers are ignored."""
         self._field_bytes += len(name) + len(value)
         if self._field_bytes > MAX_HEAD_BYTES:
             self.unusable = True
-        if self._in_head:
-            self.response.headers[name.lower()] = value
+        name = name.lower()
+        if self._in_head and name in READ_HEADERS:
+            self.response.headers[name] = value
 
     def on_headers_complete(self) -> None:
         """Check the body length that the head of a final response declares."""
