Let the next request of a connection wait until the response before it is read

What callers saw: memory grew without end while a client sent requests on one connection and read no response.

Cause: ServerConnection.respond dispatched the next request whatever was unsent, so that each response was added to the write buffer. A connection without an open request but with unsent bytes had no time-out either: close_if_idle keeps such a connection.

Change: a connection whose response is not sent yet is in a phase of its own, unread; its next request, fault or idle phase follows once the client has read, and the connection is closed 8 s after the response at the latest (a discovery server: after unread_ms, if that is longer). What can be held unread for one connection is one response.

Tests: two were written for responses that pile up.

--- a/loadbalancer/discovery_server/frontend.py
+++ b/loadbalancer/discovery_server/frontend.py
@@ -34,6 +34,8 @@
         self._unread = unread
         self._loop = asyncio.get_running_loop()
         self._listener = HttpListener(max_connections, self._on_request)
+        timeouts = self._listener.timeouts
+        timeouts.unread_timeout_s = max(timeouts.unread_timeout_s, unread.timeout_s)
         self._watches = WatchScheduler(registry, unread)
 
     @property
--- a/loadbalancer/discovery_server/unread_responses.py
+++ b/loadbalancer/discovery_server/unread_responses.py
@@ -56,6 +56,11 @@
         """The number of tracked connections; each check removes those without an unread response."""
         return len(self._unsent_since)
 
+    @property
+    def timeout_s(self) -> float:
+        """The time for which a response may be unread, in seconds."""
+        return self._unread_timeout_s
+
     @property
     def over_limit(self) -> bool:
         """Whether the unsent bytes of all clients exceed the limit."""
--- a/loadbalancer/http/connection_registry.py
+++ b/loadbalancer/http/connection_registry.py
@@ -55,8 +55,9 @@
 class ConnectionPhase:
     """The connections that are in one phase.
 
-    A connection without an open request awaits one, is idle between two, or lingers after its last response.
-    A connection is in at most one phase, and in none while a request is open.
+    A connection without an open request awaits one, is idle between two, has a response that its client has
+    not read, or lingers after its last response. A connection is in at most one phase, and in none while a
+    request is open.
     """
 
     __slots__ = ("connections",)
@@ -87,6 +88,8 @@
         connections: All open connections.
         awaiting_request: The phase before the first request, and while a request is partly received.
         idle: The phase between two requests of an identified client.
+        unread: The phase in which a response is not sent yet because the client reads too slowly; later
+            requests of the connection wait until it is.
         lingering: The phase after the last response, in which received bytes are discarded.
     """
 
@@ -97,6 +100,7 @@
         self.connections: set[RegisteredConnection] = set()
         self.awaiting_request = ConnectionPhase()
         self.idle = ConnectionPhase()
+        self.unread = ConnectionPhase()
         self.lingering = ConnectionPhase()
 
     @property
--- a/loadbalancer/http/request_timeouts.py
+++ b/loadbalancer/http/request_timeouts.py
@@ -10,14 +10,19 @@
 REQUEST_TIMEOUT_S = 2.5  # for a complete request, from connecting or from its first byte
 IDLE_TIMEOUT_S = 8.0  # after which an idle connection is closed
 LINGER_TIMEOUT_S = 0.5  # for which bytes from a client after its last response are read and discarded
-UNREAD_TIMEOUT_S = 8.0  # after which a last response that its client does not read is truncated
+UNREAD_TIMEOUT_S = 8.0  # after which a response that its client does not read is truncated
 SWEEP_INTERVAL_S = 0.1
 
 
 class RequestTimeouts:
-    """Sweeps the connections of a registry every `SWEEP_INTERVAL_S` seconds."""
+    """Sweeps the connections of a registry every `SWEEP_INTERVAL_S` seconds.
+
+    Attributes:
+        unread_timeout_s: The time within which a client has to read a response; the owner may change it.
+    """
 
     def __init__(self, registry: ConnectionRegistry, loop: asyncio.AbstractEventLoop) -> None:
+        self.unread_timeout_s = UNREAD_TIMEOUT_S
         self._registry = registry
         self._loop = loop
         self._timer: asyncio.TimerHandle | None = None
@@ -40,12 +45,14 @@
             connection.expire()
         for connection in registry.idle.entered_until(now - IDLE_TIMEOUT_S):
             connection.expire()
+        for connection in registry.unread.entered_until(now - self.unread_timeout_s):
+            connection.close(CloseReason.UNREAD_RESPONSE)
         for connection in registry.lingering.entered_until(now - LINGER_TIMEOUT_S):
             # Ending the connection truncates a last response that its client reads slowly. A connection with
             # unsent bytes therefore has the longer time-out.
             if not connection.unsent_bytes:
                 connection.abort()
-            elif connection.phase_since <= now - UNREAD_TIMEOUT_S:
+            elif connection.phase_since <= now - self.unread_timeout_s:
                 connection.close(CloseReason.UNREAD_RESPONSE)
 
     def _sweep(self) -> None:
--- a/loadbalancer/http/server_connection.py
+++ b/loadbalancer/http/server_connection.py
@@ -119,13 +119,14 @@
         requests.popleft()
         if close:
             self._close_after_response()
+        elif self.unsent_bytes:
+            # A client that sends requests and reads no response would exhaust the memory. Its next request
+            # therefore waits until it has read this response.
+            registry.move_to_phase(self, registry.unread)
         elif requests:
             self._owner.loop.call_soon(self._dispatch)
-        elif parser.fault is not None:
-            self._respond_to_fault(parser.fault, CloseReason.MALFORMED)
         else:
-            awaiting = parser.partial is not None or not self.identified
-            registry.move_to_phase(self, registry.awaiting_request if awaiting else registry.idle)
+            self._end_request_phase()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register with the owner, which may abort the connection at once."""
@@ -133,20 +134,24 @@
         self._owner.connection_opened(self)
 
     def resume_writing(self) -> None:
-        """End the sending side if the last response has just been sent."""
+        """Continue once a response has been sent: with the end of the sending side, or the next request."""
         # asyncio would report a connection that is aborted within this callback as lost twice.
         if self._closing:
             self._owner.loop.call_soon(self._end_sending)
+        else:
+            self._owner.loop.call_soon(self._continue_after_unread_response)
 
     def _receive(self, data: bytes) -> None:
         """Parse the received bytes and dispatch the first request."""
         parser, registry = self._parser, self._registry
-        if self._closing or (parser.fault is not None and parser.requests):
+        if self._closing or parser.fault is not None:
             return  # bytes left unread would reset the connection at its end, and hide a disconnect
         parser.feed(data)
         if parser.continue_expected:
             parser.continue_expected = False
             self._transport.write(CONTINUE_RESPONSE)
+        if self.phase is registry.unread:
+            return
         if parser.requests:
             registry.move_to_phase(self, None)
             self._dispatch()
@@ -187,6 +192,26 @@
         else:
             self._owner.on_request(request)
 
+    def _continue_after_unread_response(self) -> None:
+        """Dispatch the request that has waited until the client has read the response before it."""
+        registry = self._registry
+        if self._closing or self.phase is not registry.unread or self.unsent_bytes:
+            return
+        if self._parser.requests:
+            registry.move_to_phase(self, None)
+            self._dispatch()
+        else:
+            self._end_request_phase()
+
+    def _end_request_phase(self) -> None:
+        """Respond to a fault behind the last request, or enter the phase without an open request."""
+        parser, registry = self._parser, self._registry
+        if parser.fault is not None:
+            self._respond_to_fault(parser.fault, CloseReason.MALFORMED)
+            return
+        awaiting = parser.partial is not None or not self.identified
+        registry.move_to_phase(self, registry.awaiting_request if awaiting else registry.idle)
+
     def _respond_to_fault(self, status: HTTPStatus, reason: CloseReason) -> None:
         """Respond to bytes that are not a valid request, and end the connection."""
         self._registry.on_close(self, reason)
--- a/tests/http/test_server_connection.py
+++ b/tests/http/test_server_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import gc
 import weakref
 
@@ -9,8 +10,9 @@
 
 from loadbalancer.http.request import HttpRequest
 from loadbalancer.http.request_parser import MAX_PIPELINED_REQUESTS
-from tests.support.loopback import HttpClient, StalledBackend, until
-from tests.support.messages import request
+from tests.support.loopback import HttpClient, StalledBackend, always, until
+from tests.support.messages import request, response_bytes
+from tests.support.slow_reader import LARGE_BODY, slow_reader
 
 
 @pytest.fixture
@@ -76,3 +78,25 @@
     assert proxy.statistics.event_loop_errors == 1
     assert "event loop error cause=received bytes not handled" in caplog.text
     assert "of this request" in caplog.text
+
+
+@pytest.mark.parametrize("reads", [True, False], ids=["client that reads late", "client that never reads"])
+async def test_next_request_waits_until_the_client_has_read_the_response(reads, backend, proxy, monkeypatch):
+    """Guards against responses to a client that does not read them piling up in memory."""
+    monkeypatch.setattr(proxy.listener.timeouts, "unread_timeout_s", 20.0 if reads else 0.2)
+    backend.release.set()
+    backend.script = always(response_bytes(body=LARGE_BODY))
+    async with slow_reader(proxy) as (client, connection):
+        client.sendall(request("post", "q1") + request("post", "q2"))
+        await until(lambda: connection.unsent_bytes)
+        client.sendall(request("post", "q3"))
+        await until(lambda: connection.open_request_count == 2 or not connection.is_open)
+        assert backend.request_ids == ["q1"]
+        if reads:
+            received = await asyncio.to_thread(client.makefile("rb").read, 3 * len(LARGE_BODY))
+            assert received.startswith(b"HTTP/1.1 200")
+            await until(lambda: backend.request_ids == ["q1", "q2", "q3"])
+        else:
+            await until(lambda: not connection.is_open)
+            assert proxy.statistics.closed_connections == {"unread_response": 1}
+            assert backend.request_ids == ["q1"]
