Limit the bytes that all connections hold together by the memory of the settings

What callers saw: processes exceeded their memory limit and were killed while hundreds of clients wrote slowly, stopped half way through a large request or pipelined requests; every open request of the process was lost.

Cause: each connection had limits (64 KiB of body, 32 waiting requests), but nothing limited their sum. 584 connections, which 1,024 descriptors allow, may hold 37 MB of half bodies alone, and the proxy never read memory_mb. A read of up to 256 KiB also stayed referenced for a while after a fault.

Change: one budget of held bytes (ByteBudget), computed from memory_mb and the process's own memory; every connection, downstream and upstream, reports what it holds at one place. Over half of it partly received requests yield, the oldest first, with 503, then unread responses; requests that wait behind another are answered with 503 and their content is released; over three quarters new requests get 503; over all of it a partial response ends its attempt. Reads go to one shared buffer of 64 KiB per listener and pool. A complete request is never dropped without its response. limits.memory_mb below or equal 0 is now a configuration error.

Processor time is not measured yet.

--- a/benchmarks/call_profile/stages.py
+++ b/benchmarks/call_profile/stages.py
@@ -149,7 +149,7 @@
     },
     "asyncio/selector_events.py": {
         "_read_ready": "asyncio: receive",
-        "_read_ready__data_received": "asyncio: receive",
+        "_read_ready__get_buffer": "asyncio: receive",
         "_read_from_self": "sampling",
         "_process_self_data": "sampling",
         "_call_connection_lost": "upstream: close",
--- a/benchmarks/hollow/metered_watch.py
+++ b/benchmarks/hollow/metered_watch.py
@@ -23,7 +23,7 @@
         self.response_bytes = 0
         super().send_request(data, exchange)
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """See `ClientConnection.data_received`."""
         MeteredConnection.received_bytes += len(data)
         self.response_bytes += len(data)
--- a/loadbalancer/http/client_connection.py
+++ b/loadbalancer/http/client_connection.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from loadbalancer.http.byte_budget import ByteBudget
 from loadbalancer.http.message_sizes import MAX_BODY_BYTES
-from loadbalancer.http.protocol import HttpProtocol
+from loadbalancer.http.protocol import HttpProtocol, new_receive_buffer
 from loadbalancer.http.response_parser import HttpResponse, ResponseParser
 from loadbalancer.http.socket_state import has_unread_data, shut_down_sending
 
@@ -34,8 +35,17 @@
     """
 
     def __init__(
-        self, on_closed: Callable[[ClientConnection], None], max_body_bytes: int = MAX_BODY_BYTES
+        self,
+        on_closed: Callable[[ClientConnection], None],
+        max_body_bytes: int = MAX_BODY_BYTES,
+        budget: ByteBudget | None = None,
+        receive_buffer: memoryview | None = None,
     ) -> None:
+        """A connection whose messages count against the budget, if there is one.
+
+        Connections may share a receive buffer; without one the connection has its own.
+        """
+        super().__init__(budget or ByteBudget(), receive_buffer or new_receive_buffer())
         self.idle_since = 0.0  # the event loop's time in seconds; written and read by the owner
         self._on_closed = on_closed
         self._parser = ResponseParser(max_body_bytes)
@@ -57,6 +67,11 @@
             and not has_unread_data(transport)
         )
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the current request and response that the connection holds in the process."""
+        return self._parser.held_bytes + self.unsent_bytes
+
     @property
     def request_written(self) -> bool:
         """Whether the complete current request has been written to the socket."""
@@ -73,6 +88,7 @@
         self._request_written = (
             not self._transport.is_closing() and not self._transport.get_write_buffer_size()
         )
+        self._count_held_bytes()
 
     def abort(self) -> None:
         """Close at once and discard unsent bytes; the exchange, if any, gets no further callback."""
@@ -89,17 +105,19 @@
         # asyncio discards its write buffer before it calls `connection_lost`, so that its size does not show
         # then whether the request is written.
         self._request_written = True
+        self._count_held_bytes()
 
-    def _receive(self, data: bytes) -> None:
+    def _receive(self, data: bytes | memoryview) -> None:
         """Parse the received bytes; end the exchange when its response is complete or unusable."""
         parser, exchange = self._parser, self._exchange
         if exchange is None:  # unsolicited bytes would become the response to the next request
             self.abort()
             return
         parser.feed(data)
+        self._count_held_bytes()
         if parser.complete:
             self._deliver_response(exchange)
-        elif parser.unusable:
+        elif parser.unusable or not self._budget.allows_responses:
             self._fail_exchange()
 
     def eof_received(self) -> bool:
@@ -115,6 +133,7 @@
     def connection_lost(self, _exc: Exception | None) -> None:
         """Notify the owner, and fail the exchange."""
         self._ended = True
+        self._release_held_bytes()
         self._on_closed(self)
         self._fail_exchange()
         self._parser.close()
@@ -124,7 +143,8 @@
         # If the server responds early, the unsent rest of the request would precede the next request.
         if self._parser.unusable or not self._request_written:
             self.abort()
-        exchange.on_response(self._parser.response)
+        exchange.on_response(self._parser.take_response())
+        self._count_held_bytes()
 
     def _fail_exchange(self) -> None:
         exchange = self._exchange
--- a/loadbalancer/http/close_reason.py
+++ b/loadbalancer/http/close_reason.py
@@ -15,4 +15,5 @@
     IDLE_TIMEOUT = "idle_timeout"
     UNREAD_RESPONSE = "unread_response"  # the client does not read a response within its time-out
     MALFORMED = "malformed"  # bytes that are not a valid request
+    MEMORY = "memory"  # too many bytes are held, and this connection has an incomplete request or response
     SHUTDOWN = "shutdown"
--- a/loadbalancer/http/connection_registry.py
+++ b/loadbalancer/http/connection_registry.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from loadbalancer.http.byte_budget import ByteBudget
 from loadbalancer.http.close_reason import CloseReason
 
 
@@ -37,6 +38,9 @@
     def close(self, reason: CloseReason) -> None:
         """Close at once and discard unsent bytes; `reason` is recorded."""
 
+    def refuse_partial_request(self) -> None:
+        """Respond with 503 to a request that is partly received, discard it and end the connection."""
+
     def expire(self) -> None:
         """End the connection on the time-out of its phase, with 408 if a request is partly received."""
 
@@ -84,6 +88,7 @@
     Attributes:
         limit: Maximum number of open connections; beyond it the listener evicts connections.
         clock: Returns the event loop's time in seconds.
+        budget: The bytes that connections hold; connections to endpoints share it.
         on_close: Called with each connection that the server side decides to close, and the reason.
         connections: All open connections.
         awaiting_request: The phase before the first request, and while a request is partly received.
@@ -93,8 +98,9 @@
         lingering: The phase after the last response, in which received bytes are discarded.
     """
 
-    def __init__(self, limit: int, clock: Callable[[], float]) -> None:
+    def __init__(self, limit: int, clock: Callable[[], float], budget: ByteBudget) -> None:
         self.limit = limit
+        self.budget = budget
         self.clock = clock
         self.on_close: CloseCallback = _ignore_close
         self.connections: set[RegisteredConnection] = set()
--- a/loadbalancer/http/listener.py
+++ b/loadbalancer/http/listener.py
@@ -7,10 +7,12 @@
 from collections.abc import Callable
 
 from loadbalancer.http.addresses import Address, socket_address
+from loadbalancer.http.byte_budget import ByteBudget
 from loadbalancer.http.close_reason import CloseReason
 from loadbalancer.http.connection_registry import ConnectionRegistry, RegisteredConnection
 from loadbalancer.http.eviction import IDLE_GRACE_S, evict_over_limit
 from loadbalancer.http.listening_sockets import ListeningSockets
+from loadbalancer.http.protocol import new_receive_buffer
 from loadbalancer.http.request import HttpRequest
 from loadbalancer.http.request_timeouts import RequestTimeouts
 from loadbalancer.http.server_connection import ServerConnection
@@ -28,16 +30,20 @@
 
     Attributes:
         registry: The open connections by phase.
+        receive_buffer: The buffer of the connections' reads.
         timeouts: Ends connections that exceed the time-out of their phase.
         accept_batch: Maximum number of connections accepted per event loop iteration and listening socket.
     """
 
-    def __init__(self, limit: int, on_request: Callable[[HttpRequest], None]) -> None:
+    def __init__(
+        self, limit: int, on_request: Callable[[HttpRequest], None], budget: ByteBudget | None = None
+    ) -> None:
         self.loop = asyncio.get_running_loop()
         self.on_request = on_request
         self.ready = False
         self.draining = False
-        self.registry = ConnectionRegistry(limit, self.loop.time)
+        self.registry = ConnectionRegistry(limit, self.loop.time, budget or ByteBudget())
+        self.receive_buffer = new_receive_buffer()
         self.timeouts = RequestTimeouts(self.registry, self.loop)
         self.accept_batch = max(1, limit // ACCEPT_BATCH_DIVISOR)
         self._listening = ListeningSockets(self.loop, self.accept_batch)
--- a/loadbalancer/http/listening_sockets.py
+++ b/loadbalancer/http/listening_sockets.py
@@ -25,7 +25,9 @@
         """The open sockets, in the order of opening."""
         return [listening for server in self._servers for listening in server.sockets]
 
-    async def open(self, host: str, port: int, protocol_factory: Callable[[], asyncio.Protocol]) -> Address:
+    async def open(
+        self, host: str, port: int, protocol_factory: Callable[[], asyncio.BaseProtocol]
+    ) -> Address:
         """Open another listening socket; the factory creates the protocol of each accepted connection.
 
         Returns the address, with the port that the kernel chose where `port` is 0.
--- a/loadbalancer/http/protocol.py
+++ b/loadbalancer/http/protocol.py
@@ -5,14 +5,27 @@
 import asyncio
 from abc import abstractmethod
 
+from loadbalancer.http.byte_budget import ByteBudget
 from loadbalancer.http.socket_state import shut_down_sending
 
+RECEIVE_BYTES = 64 * 1024  # at most, in one read of one connection
 
-class HttpProtocol(asyncio.Protocol):
+
+def new_receive_buffer() -> memoryview:
+    """A buffer for reads, which all connections of one owner may share: each read is handled at once."""
+    return memoryview(bytearray(RECEIVE_BYTES))
+
+
+class HttpProtocol(asyncio.BufferedProtocol):
     """One side of a connection. An error in handling received bytes ends this connection only."""
 
     _transport: asyncio.Transport  # set in `connection_made`
 
+    def __init__(self, budget: ByteBudget, receive_buffer: memoryview) -> None:
+        self._budget = budget
+        self._receive_buffer = receive_buffer
+        self._counted_bytes = 0  # that the budget has of this connection
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that are not sent yet because the peer reads too slowly."""
@@ -25,8 +38,16 @@
         # With a limit of 0, asyncio calls `resume_writing` as soon as all bytes are sent.
         transport.set_write_buffer_limits(high=0)
 
-    def data_received(self, data: bytes) -> None:
-        """Handle received bytes."""
+    def get_buffer(self, _size_hint: int) -> memoryview:
+        """Provide the buffer of the next read."""
+        return self._receive_buffer
+
+    def buffer_updated(self, size: int) -> None:
+        """Handle the bytes that a read has stored in the buffer."""
+        self.data_received(self._receive_buffer[:size])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Handle received bytes, which are valid only during the call."""
         try:
             self._receive(data)
         except Exception as error:
@@ -35,14 +56,31 @@
             asyncio.get_running_loop().call_exception_handler(context)
             self.abort()
 
+    @property
+    @abstractmethod
+    def held_bytes(self) -> int:
+        """Bytes of messages that the connection holds in the process."""
+
     @abstractmethod
     def abort(self) -> None:
         """Close at once and discard unsent bytes."""
 
     @abstractmethod
-    def _receive(self, data: bytes) -> None:
+    def _receive(self, data: bytes | memoryview) -> None:
         """Handle received bytes."""
 
+    def _count_held_bytes(self) -> None:
+        """Report the bytes that are held now to the budget; called after each change."""
+        held_bytes = self.held_bytes
+        if held_bytes != self._counted_bytes:
+            self._budget.change(held_bytes - self._counted_bytes)
+            self._counted_bytes = held_bytes
+
+    def _release_held_bytes(self) -> None:
+        """Report to the budget that nothing is held any more, because the connection is lost."""
+        self._budget.change(-self._counted_bytes)
+        self._counted_bytes = 0
+
     def _end_sending(self) -> None:
         """End the sending side if all bytes are sent; abort the connection if its peer has closed it."""
         # asyncio's `write_eof` raises an error if the peer has closed the connection. The error would reach
--- a/loadbalancer/http/request.py
+++ b/loadbalancer/http/request.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+OBJECT_BYTES = 1024  # of the objects of one request, without the bytes of its head and body
+
 
 class RequestConnection(Protocol):
     """The interface of a request's downstream connection for the code that handles the request."""
@@ -45,6 +47,7 @@
     body: bytearray = field(default_factory=bytearray)
     head_bytes: int = 0  # of the target and of the names and values of the headers
     keep_alive: bool = True
+    refused: bool = False  # its content is released, and its response is 503
     dispatched: bool = False
     responded: bool = False
     on_disconnect: Callable[[], None] | None = None  # called if the client disconnects before the response
@@ -52,7 +55,7 @@
     @property
     def held_bytes(self) -> int:
         """Bytes of the request that are held in the process."""
-        return self.head_bytes + len(self.body)
+        return OBJECT_BYTES + self.head_bytes + len(self.body)
 
     @property
     def client_disconnected(self) -> bool:
@@ -67,6 +70,7 @@
         if not self.responded:
             self.responded = True
             self.on_disconnect = None  # it may refer back to this request, which would form a reference cycle
+            self._release_body()
             self.connection.respond(self, status, body, retry_after_ms)
 
     def cancel(self) -> None:
@@ -75,3 +79,14 @@
         if self.on_disconnect is not None:
             self.on_disconnect()
             self.on_disconnect = None
+        self._release_body()
+
+    def refuse_unread(self) -> None:
+        """Release the content of a request that nobody has seen; its response will be 503."""
+        self.refused = True
+        self.target, self.headers, self.head_bytes = b"", {}, 0
+        self._release_body()
+
+    def _release_body(self) -> None:
+        # An attempt that may not be cancelled keeps the request until its own end.
+        self.body = bytearray()
--- a/loadbalancer/http/request_parser.py
+++ b/loadbalancer/http/request_parser.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
+from itertools import islice
 
 import httptools
 
@@ -60,8 +61,8 @@
         partial = 0 if self.partial is None else self.partial.held_bytes
         return partial + sum([request.held_bytes for request in self.requests])
 
-    def feed(self, data: bytes) -> None:
-        """Parse the next bytes; must not be called after `close`. Raises nothing."""
+    def feed(self, data: bytes | memoryview) -> None:
+        """Parse the next bytes; must not be called after a fault or `close`. Raises nothing."""
         # The parser keeps an incomplete header, trailer or chunk size without reporting it, so that an
         # endless one would never be counted. Each read is therefore counted too, until one has a result.
         self._unparsed_bytes += len(data)
@@ -71,6 +72,8 @@
             self._fail(HTTPStatus.BAD_REQUEST)
         if self._unparsed_bytes > MAX_UNPARSED_BYTES:
             self._fail(HTTPStatus.BAD_REQUEST)
+        if self.fault is not None:
+            self.discard_partial()
 
     def cancel_requests(self) -> None:
         """Cancel the complete requests, because the client has disconnected."""
@@ -78,6 +81,20 @@
         for request in requests:
             request.cancel()
 
+    def refuse_rest(self, status: HTTPStatus) -> None:
+        """Parse nothing more: what follows the complete requests gets this status."""
+        self._fail(status)
+        self.discard_partial()
+
+    def refuse_waiting(self) -> None:
+        """Release the content of the requests that wait behind the first; each still gets its response."""
+        for request in islice(self.requests, 1, None):
+            request.refuse_unread()
+
+    def discard_partial(self) -> None:
+        """Release the partly received request; its bytes that still arrive must not be parsed."""
+        self.partial = None
+
     def close(self) -> None:
         """Release the parser when the connection is lost."""
         # This parser and that of httptools refer to each other, and the garbage collector rarely examines
--- a/loadbalancer/http/response_parser.py
+++ b/loadbalancer/http/response_parser.py
@@ -53,7 +53,7 @@
         self._until_close = False
         self._field_bytes = self._unparsed_bytes = 0
 
-    def feed(self, data: bytes) -> None:
+    def feed(self, data: bytes | memoryview) -> None:
         """Parse the next bytes; must not be called after `close`. Raises nothing."""
         # The parser keeps an incomplete header, trailer or chunk size without reporting it, so that an
         # endless one would never be counted. Each read is therefore counted too, until one has a result.
@@ -73,6 +73,17 @@
             self.response.status = self._parser.get_status_code()
             self.complete = self.unusable = True
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the response that are held in the process."""
+        headers = self.response.headers
+        return len(self.response.body) + sum([len(value) for value in headers.values()])
+
+    def take_response(self) -> HttpResponse:
+        """Return the complete response, and hold it no more."""
+        response, self.response = self.response, HttpResponse()
+        return response
+
     def close(self) -> None:
         """Release the parser when the connection is lost."""
         # This parser and that of httptools refer to each other, and the garbage collector rarely examines
--- a/loadbalancer/http/server_connection.py
+++ b/loadbalancer/http/server_connection.py
@@ -9,6 +9,7 @@
 
 from loadbalancer.http.close_reason import CloseReason
 from loadbalancer.http.connection_registry import ConnectionPhase, ConnectionRegistry
+from loadbalancer.http.memory_relief import relieve_memory
 from loadbalancer.http.protocol import HttpProtocol
 from loadbalancer.http.request import HttpRequest
 from loadbalancer.http.request_parser import RequestParser
@@ -17,6 +18,11 @@
 
 READY_PATH = b"/up"
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# Why a connection is closed after a response with this status to bytes that do not become a request.
+REASONS_BY_STATUS = {
+    HTTPStatus.REQUEST_TIMEOUT: CloseReason.REQUEST_TIMEOUT,
+    HTTPStatus.SERVICE_UNAVAILABLE: CloseReason.MEMORY,
+}
 CLIENT_ERRORS = range(400, 500)  # statuses of responses to requests that are not valid
 
 
@@ -25,6 +31,7 @@
 
     loop: asyncio.AbstractEventLoop
     registry: ConnectionRegistry
+    receive_buffer: memoryview
     on_request: Callable[[HttpRequest], None]
     ready: bool  # whether a readiness request gets the status 200, not 503
     draining: bool  # whether each response closes its connection
@@ -37,6 +44,7 @@
     """The server side of a connection. Pipelined requests get their responses one after the other."""
 
     def __init__(self, owner: ConnectionOwner, context: object = None) -> None:
+        super().__init__(owner.registry.budget, owner.receive_buffer)
         self.context = context  # of the listening socket that accepted this connection
         self.identified = False  # whether a response other than 4xx has been written to the connection
         self.phase: ConnectionPhase | None = None  # None while a request is open; written by the registry
@@ -97,12 +105,17 @@
         self._registry.remove(self)
         self._transport.abort()
 
+    def refuse_partial_request(self) -> None:
+        """Respond with 503 to a request that is partly received, discard it and end the connection."""
+        self._parser.refuse_rest(HTTPStatus.SERVICE_UNAVAILABLE)
+        self._respond_to_fault(HTTPStatus.SERVICE_UNAVAILABLE)
+
     def expire(self) -> None:
         """End the connection on the time-out of its phase, with 408 if a request is partly received."""
         if self._closing:
             self.abort()
         elif self._parser.partial is not None:
-            self._respond_to_fault(HTTPStatus.REQUEST_TIMEOUT, CloseReason.REQUEST_TIMEOUT)
+            self._respond_to_fault(HTTPStatus.REQUEST_TIMEOUT)
         else:
             idle = self.phase is self._registry.idle
             self.close_if_idle(CloseReason.IDLE_TIMEOUT if idle else CloseReason.NO_REQUEST)
@@ -117,12 +130,14 @@
         close = len(requests) == 1 and (not request.keep_alive or self._owner.draining or registry.over_limit)
         self._transport.write(encode_response_head(status, len(body), retry_after_ms, close=close) + body)
         requests.popleft()
+        self._count_held_bytes()
         if close:
             self._close_after_response()
         elif self.unsent_bytes:
             # A client that sends requests and reads no response would exhaust the memory. Its next request
             # therefore waits until it has read this response.
             registry.move_to_phase(self, registry.unread)
+            self._yield_memory()
         elif requests:
             self._owner.loop.call_soon(self._dispatch)
         else:
@@ -135,13 +150,14 @@
 
     def resume_writing(self) -> None:
         """Continue once a response has been sent: with the end of the sending side, or the next request."""
+        self._count_held_bytes()
         # asyncio would report a connection that is aborted within this callback as lost twice.
         if self._closing:
             self._owner.loop.call_soon(self._end_sending)
         else:
             self._owner.loop.call_soon(self._continue_after_unread_response)
 
-    def _receive(self, data: bytes) -> None:
+    def _receive(self, data: bytes | memoryview) -> None:
         """Parse the received bytes and dispatch the first request."""
         parser, registry = self._parser, self._registry
         if self._closing or parser.fault is not None:
@@ -150,22 +166,22 @@
         if parser.continue_expected:
             parser.continue_expected = False
             self._transport.write(CONTINUE_RESPONSE)
-        if self.phase is registry.unread:
+        if self.phase is not registry.unread:
+            self._enter_phase_of_request()
+        self._count_held_bytes()
+        self._yield_memory()
+        if self._closing or self.phase is registry.unread:
             return
         if parser.requests:
-            registry.move_to_phase(self, None)
             self._dispatch()
         elif parser.fault is not None:
-            self._respond_to_fault(parser.fault, CloseReason.MALFORMED)
-        elif parser.partial is not None:
-            # A client that keeps sending single bytes would hold its connection open without end. One
-            # time-out therefore covers the complete request, and only its first byte restarts it.
-            registry.move_to_phase(self, registry.awaiting_request)
+            self._respond_to_fault(parser.fault)
 
     def eof_received(self) -> bool:
         """Treat the end of the client's stream as a disconnect."""
         self._closing = True
         self._parser.cancel_requests()
+        self._count_held_bytes()
         # asyncio reports a lost connection only after all bytes are written, which never happens if the
         # client does not read. Its requests are therefore cancelled here, and a time-out ends the connection.
         if self.unsent_bytes:
@@ -175,10 +191,33 @@
     def connection_lost(self, _exc: Exception | None) -> None:
         """Release the connection and cancel its requests."""
         self._registry.remove(self)
+        self._release_held_bytes()
         self._parser.close()
         self._closing = True
         self._parser.cancel_requests()
 
+    def _enter_phase_of_request(self) -> None:
+        """Enter the phase in which a request is open, or partly received."""
+        if self._parser.requests:
+            self._registry.move_to_phase(self, None)
+        elif self._parser.partial is not None:
+            # A client that keeps sending single bytes would hold its connection open without end. One
+            # time-out therefore covers the complete request, and only its first byte restarts it.
+            self._registry.move_to_phase(self, self._registry.awaiting_request)
+
+    def _yield_memory(self) -> None:
+        """Free memory if all connections together hold too many bytes."""
+        if self._budget.allows_partial_requests:
+            return
+        parser, registry = self._parser, self._registry
+        if parser.requests:
+            # The requests before the partly received one still get their responses.
+            parser.refuse_waiting()
+            if parser.partial is not None:
+                parser.refuse_rest(HTTPStatus.SERVICE_UNAVAILABLE)
+            self._count_held_bytes()
+        relieve_memory(registry)
+
     def _dispatch(self) -> None:
         """Dispatch the oldest complete request, unless it is already dispatched."""
         requests = self._parser.requests
@@ -187,7 +226,9 @@
         request = requests[0]
         request.dispatched = True
         request.connection = self
-        if request.target.partition(b"?")[0] == READY_PATH:
+        if request.refused:
+            request.respond(HTTPStatus.SERVICE_UNAVAILABLE)
+        elif request.target.partition(b"?")[0] == READY_PATH:
             request.respond(HTTPStatus.OK if self._owner.ready else HTTPStatus.SERVICE_UNAVAILABLE)
         else:
             self._owner.on_request(request)
@@ -207,14 +248,14 @@
         """Respond to a fault behind the last request, or enter the phase without an open request."""
         parser, registry = self._parser, self._registry
         if parser.fault is not None:
-            self._respond_to_fault(parser.fault, CloseReason.MALFORMED)
+            self._respond_to_fault(parser.fault)
             return
         awaiting = parser.partial is not None or not self.identified
         registry.move_to_phase(self, registry.awaiting_request if awaiting else registry.idle)
 
-    def _respond_to_fault(self, status: HTTPStatus, reason: CloseReason) -> None:
-        """Respond to bytes that are not a valid request, and end the connection."""
-        self._registry.on_close(self, reason)
+    def _respond_to_fault(self, status: HTTPStatus) -> None:
+        """Respond to bytes that do not become a request, and end the connection."""
+        self._registry.on_close(self, REASONS_BY_STATUS.get(status, CloseReason.MALFORMED))
         self._transport.write(encode_response_head(status, 0, 0.0, close=True))
         self._close_after_response()
 
@@ -223,6 +264,8 @@
         # Closing a socket with unread bytes resets the connection, and the client loses the response. Bytes
         # that the client still sends are therefore read and discarded until the time-out of the phase.
         self._closing = True
+        self._parser.discard_partial()
+        self._count_held_bytes()
         if not self._transport.is_closing():
             self._registry.move_to_phase(self, self._registry.lingering)
             self._end_sending()
--- a/loadbalancer/proxy/config.py
+++ b/loadbalancer/proxy/config.py
@@ -13,6 +13,7 @@
 from loadbalancer.settings import ConfigurationError, Settings
 
 DEFAULT_DESCRIPTOR_LIMIT = 1024
+DEFAULT_MEMORY_LIMIT_MB = 192.0
 DEFAULT_MAX_OPEN_REQUESTS = 20_000
 DEFAULT_ENDPOINT_IDLE_TIMEOUT_MS = 15_000.0
 DEFAULT_CONNECT_TIMEOUT_MS = 250.0
@@ -27,6 +28,13 @@
 DOWNSTREAM_FRACTION = 0.58
 UPSTREAM_FRACTION = 0.35
 
+BYTES_PER_MB = 1024 * 1024
+CONNECTION_BYTES = 5 * 1024  # of the objects of one open connection, without its messages
+# Of the memory that the process and its connections leave, the part that messages may use. The rest is for
+# copies of a message while it is forwarded, for endpoint lists, and for freed memory that is not returned.
+HELD_BYTES_FRACTION = 0.4
+MIN_HELD_BYTES = 1024 * 1024  # with which some requests can be served, however little memory there is
+
 Number = TypeVar("Number", int, float)
 
 
@@ -41,6 +49,7 @@
     known_endpoints: EndpointList  # used from the start until the first response of discovery
     settings: Settings
     descriptor_limit: int = DEFAULT_DESCRIPTOR_LIMIT  # file descriptors of the process
+    memory_limit_mb: float = DEFAULT_MEMORY_LIMIT_MB  # of the process
     max_open_requests: int = DEFAULT_MAX_OPEN_REQUESTS
     endpoint_idle_timeout_ms: float = DEFAULT_ENDPOINT_IDLE_TIMEOUT_MS  # of the endpoints' own listeners
     connect_timeout_ms: float = DEFAULT_CONNECT_TIMEOUT_MS
@@ -57,6 +66,16 @@
         """The maximum number of connections to endpoints that are open or being established."""
         return int(self._usable_descriptors * UPSTREAM_FRACTION)
 
+    def held_bytes_limit(self, resident_bytes: int) -> int:
+        """The bytes of messages that all connections may hold together.
+
+        Args:
+            resident_bytes: the memory of the process without connections.
+        """
+        connections = self.downstream_limit + self.upstream_limit
+        available = self.memory_limit_mb * BYTES_PER_MB - resident_bytes - connections * CONNECTION_BYTES
+        return max(MIN_HELD_BYTES, int(available * HELD_BYTES_FRACTION))
+
     @property
     def _usable_descriptors(self) -> int:
         return max(MIN_USABLE_DESCRIPTORS, self.descriptor_limit - RESERVED_DESCRIPTORS)
@@ -97,6 +116,7 @@
         known_endpoints=_endpoint_list(document["known"]),
         settings=parse_settings(document["settings"]),
         descriptor_limit=_positive(limits, "sockets", DEFAULT_DESCRIPTOR_LIMIT),
+        memory_limit_mb=_positive(limits, "memory_mb", DEFAULT_MEMORY_LIMIT_MB),
         max_open_requests=_positive(bounds, "maxOpen", DEFAULT_MAX_OPEN_REQUESTS),
         endpoint_idle_timeout_ms=_positive(bounds, "connIdleMs", DEFAULT_ENDPOINT_IDLE_TIMEOUT_MS),
         connect_timeout_ms=_positive(bounds, "connectTimeoutMs", DEFAULT_CONNECT_TIMEOUT_MS),
--- a/loadbalancer/proxy/connection_pool.py
+++ b/loadbalancer/proxy/connection_pool.py
@@ -6,7 +6,10 @@
 from collections.abc import Callable, Sequence
 
 from loadbalancer.http.addresses import Address
+from loadbalancer.http.byte_budget import ByteBudget
 from loadbalancer.http.client_connection import ClientConnection
+from loadbalancer.http.message_sizes import MAX_BODY_BYTES
+from loadbalancer.http.protocol import new_receive_buffer
 
 # Fraction of the time after which an endpoint closes an idle connection; the pool closes it well before then.
 IDLE_TIMEOUT_FRACTION = 0.5
@@ -93,8 +96,17 @@
         connect_timeout_s: the time within which a connection has to be established.
     """
 
-    def __init__(self, limit: int, endpoint_idle_timeout_s: float, connect_timeout_s: float) -> None:
+    def __init__(
+        self,
+        limit: int,
+        endpoint_idle_timeout_s: float,
+        connect_timeout_s: float,
+        budget: ByteBudget | None = None,
+    ) -> None:
+        """A pool whose connections' messages count against this budget, and else against none."""
         self.limit = limit
+        self._budget = budget or ByteBudget()
+        self._receive_buffer = new_receive_buffer()
         self.connect_timeout_s = connect_timeout_s
         self._idle_timeout_s = endpoint_idle_timeout_s * IDLE_TIMEOUT_FRACTION
         self._endpoints: dict[str, EndpointConnections] = {}
@@ -177,7 +189,10 @@
             OSError: the connection can't be established.
         """
         loop = asyncio.get_running_loop()
-        _, connection = await loop.create_connection(lambda: ClientConnection(self._open.discard), *address)
+        _, connection = await loop.create_connection(
+            lambda: ClientConnection(self._open.discard, MAX_BODY_BYTES, self._budget, self._receive_buffer),
+            *address,
+        )
         self._open.add(connection)
         return connection
 
--- a/loadbalancer/proxy/decision_log.py
+++ b/loadbalancer/proxy/decision_log.py
@@ -21,6 +21,7 @@
     """Why a valid request gets 503 before the policy decides on it."""
 
     OPEN_REQUESTS = "open_requests"  # too many are open
+    MEMORY = "memory"  # connections hold too many bytes together
     CONNECTIONS = "connections"  # over the limit, and none can be evicted
 
 
--- a/loadbalancer/proxy/request_intake.py
+++ b/loadbalancer/proxy/request_intake.py
@@ -4,6 +4,7 @@
 
 from http import HTTPStatus
 
+from loadbalancer.http.byte_budget import ByteBudget
 from loadbalancer.http.listener import HttpListener
 from loadbalancer.http.request import HttpRequest
 from loadbalancer.proxy.clock import Clock
@@ -22,9 +23,15 @@
     """
 
     def __init__(
-        self, config: Config, clock: Clock, requests: PendingRequests, statistics: Statistics
+        self,
+        config: Config,
+        clock: Clock,
+        requests: PendingRequests,
+        statistics: Statistics,
+        budget: ByteBudget,
     ) -> None:
-        self.listener = HttpListener(config.downstream_limit, self._on_request)
+        self.listener = HttpListener(config.downstream_limit, self._on_request, budget)
+        self._budget = budget
         self._service_classes = {item.name: item for item in config.settings.classes}
         self._max_open_requests = config.max_open_requests
         self._clock = clock
@@ -58,4 +65,6 @@
         # for a new connection. Trade-off: the evicted client has to connect again, which can be expensive.
         if self._requests.open_count >= self._max_open_requests:
             return RefusalReason.OPEN_REQUESTS
+        if not self._budget.allows_requests:
+            return RefusalReason.MEMORY
         return None if self.listener.ensure_capacity(grace_s=0.0) else RefusalReason.CONNECTIONS
--- a/tests/proxy/test_memory_limit.py
+++ b/tests/proxy/test_memory_limit.py
@@ -29,6 +29,9 @@
 LEAST_MEMORY_MB = 32  # the least memory and the most descriptors that the platform's pages name
 MOST_DESCRIPTORS = 1024
 CLIENTS = 550  # fewer than the connections that these descriptors allow
+UNREAD_S = 2.0  # for which a response stays unread, so that those of many clients do at once
+MOST_ATTEMPTS = 50
+SERVED = b"HTTP/1.1 200"
 UNREAD_REQUESTS = 1000
 UNREAD_PAUSE_S = 0.002
 LARGE_BODY = b"b" * 65536
@@ -42,7 +45,9 @@
 
 HEAD = b"POST /post/1 HTTP/1.1\r\nHost: x\r\nReq-Id: %d\r\n"
 HALF_BODY = HEAD + b"Content-Length: 65536\r\n\r\n" + LARGE_BODY[:-1]
+HALF_CHUNKED_BODY = HEAD + b"Transfer-Encoding: chunked\r\n\r\nffff\r\n" + LARGE_BODY[:65534]
 HEAD_OF_SHORT_FIELDS = HEAD + short_fields(5000)
+PIPELINED_SHORT_FIELDS = 20 * (HEAD + short_fields(5000) + b"Content-Length: 0\r\n\r\n")
 PIPELINED_BODIES = 20 * (HEAD + b"Content-Length: 30000\r\n\r\n" + LARGE_BODY[:30000])
 
 
@@ -57,6 +62,37 @@
             writer.transport.abort()
 
 
+async def write_slowly(address: Address, number: int, data: bytes) -> None:
+    """Send the bytes in small pieces, as long as the connection is open."""
+    with contextlib.suppress(OSError):
+        reader, writer = await asyncio.open_connection(*address)
+        end = asyncio.ensure_future(reader.read(1))
+        try:
+            for start in range(0, len(data), 2000):
+                writer.write(data[start : start + 2000])
+                await asyncio.wait({end}, timeout=0.05)
+                if end.done():
+                    return
+            await end
+        finally:
+            end.cancel()
+            writer.transport.abort()
+
+
+async def read_one_byte(address: Address, number: int, data: bytes) -> None:
+    """Retry a request until it is served, and read the first byte of the response; the rest stays unread."""
+    loop = asyncio.get_running_loop()
+    for attempt in range(MOST_ATTEMPTS):
+        with socket.socket() as client, contextlib.suppress(OSError):
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.setblocking(False)
+            await loop.sock_connect(client, address)
+            client.send(data.replace(b"%d", b"%d-%d" % (number, attempt)))
+            if await loop.sock_recv(client, len(SERVED)) == SERVED:
+                await asyncio.sleep(UNREAD_S)
+                return
+
+
 async def read_nothing(address: Address, number: int, data: bytes) -> None:
     """Send requests one after the other, faster than their responses are read, which is never."""
     with socket.socket() as client:
@@ -73,9 +109,13 @@
 ClientScript = Callable[[Address, int, bytes], Awaitable[None]]
 CASES = [
     pytest.param(CLIENTS, send_and_wait, HALF_BODY, id="half bodies"),
+    pytest.param(CLIENTS, send_and_wait, HALF_CHUNKED_BODY, id="half chunked bodies"),
+    pytest.param(CLIENTS, write_slowly, HALF_BODY, id="slow bodies"),
     pytest.param(CLIENTS, send_and_wait, HEAD_OF_SHORT_FIELDS, id="heads of short fields"),
+    pytest.param(CLIENTS, send_and_wait, PIPELINED_SHORT_FIELDS, id="pipelined heads of short fields"),
     pytest.param(CLIENTS, send_and_wait, PIPELINED_BODIES, id="pipelined bodies"),
     pytest.param(8, read_nothing, request(name="%d"), id="unread responses"),
+    pytest.param(CLIENTS, read_one_byte, request(name="%d"), id="one unread response of each client"),
     pytest.param(8, read_nothing, request("none", name="%d"), id="unread errors"),
 ]
 
--- a/tests/proxy/test_statistics.py
+++ b/tests/proxy/test_statistics.py
@@ -36,6 +36,7 @@
     assert re.match(r"statistics name=n0 memory_mb=[1-9]\d* peak_memory_mb=[1-9]\d* ", line)
     assert {"missed_deadlines=1", "open_requests=7", "requests_received=0"} <= set(line.split())
     assert line.endswith(
-        " open_requests=7 cursor=2 downstream_connections=8 upstream_connections=9 held_bytes=5"
+        " open_requests=7 cursor=2 downstream_connections=8 upstream_connections=9"
+        " held_bytes=5 peak_held_bytes=0"
     )
     assert statistics.missed_deadlines == 0
--- a/tests/test_external_names.py
+++ b/tests/test_external_names.py
@@ -165,9 +165,9 @@
 |fewer descriptors than connections connections available
 proxy, counters and gauges = requests_received|requests_over_limit|client_disconnects
 |unread_client_disconnects|missed_deadlines|policy_faults|event_loop_errors|event_loop_lag_ms|open_requests
-|cursor|downstream_connections|upstream_connections|held_bytes
+|cursor|downstream_connections|upstream_connections|held_bytes|peak_held_bytes
 memory gauges, reasons to close and to refuse = memory_mb|peak_memory_mb|evicted|over_limit|no_request
-|request_timeout|idle_timeout|unread_response|malformed|shutdown|open_requests|connections
+|request_timeout|idle_timeout|unread_response|malformed|memory|shutdown|open_requests|memory|connections
 attempts_ and endpoint_lists_ = ok|error|rejected|timeout|connect_failed|reset|cancelled|not_sent|delta
 |complete|cached|unavailable
 discovery server, counters and gauges = lists|initialized_lists|connected_upstreams|connections
--- a/tests/test_periodic_work.py
+++ b/tests/test_periodic_work.py
@@ -8,6 +8,7 @@
 import pytest
 
 from loadbalancer.discovery_server.periodic_task import PeriodicTask
+from loadbalancer.http.byte_budget import ByteBudget
 from loadbalancer.http.connection_registry import ConnectionRegistry
 from loadbalancer.http.request_timeouts import RequestTimeouts
 from loadbalancer.proxy.statistics import Gauges, Statistics, StatisticsLog
@@ -41,7 +42,7 @@
         run()
         return 0.0
 
-    timeouts = RequestTimeouts(ConnectionRegistry(10, clock), asyncio.get_running_loop())
+    timeouts = RequestTimeouts(ConnectionRegistry(10, clock, ByteBudget()), asyncio.get_running_loop())
     timeouts.start()
     return timeouts.stop
 
