Read all that a client has sent before its request is forwarded

Cause: a FIN behind a full receive window arrives only after the bytes before it are read. After a read that filled only a part of the input, ServerConnection dispatched the first request at once, and the check right before an attempt (POLLRDHUP) can't see a FIN that is still at the client's side. docs/open-issues.md called this invisible; it is visible once the rest is read.

Change: a request is dispatched only if no byte is unread behind it, or if the close has already arrived (the attempt's own check handles that). Otherwise the next read dispatches it, or the close cancels it. A client that never stops sending gets 503 after 0.5 s.

--- a/loadbalancer/http/server_connection.py
+++ b/loadbalancer/http/server_connection.py
@@ -14,9 +14,10 @@
 from loadbalancer.http.request import HttpRequest
 from loadbalancer.http.request_parser import RequestParser
 from loadbalancer.http.response_head import encode_response_head
-from loadbalancer.http.socket_state import has_unread_data, peer_has_closed
+from loadbalancer.http.socket_state import close_may_be_unread, has_unread_data, peer_has_closed
 
 READY_PATH = b"/up"
+UNREAD_INPUT_TIMEOUT_S = 0.5  # for which a request waits while its client goes on sending
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Why a connection is closed after a response with this status to bytes that do not become a request.
 REASONS_BY_STATUS = {
@@ -52,6 +53,7 @@
         self._owner = owner
         self._registry = owner.registry
         self._parser = RequestParser(owner.loop.time)
+        self._waiting_for_input: HttpRequest | None = None  # not dispatched while its client goes on sending
         self._closing = False  # the last response has been written, or the client has disconnected
 
     @property
@@ -161,7 +163,9 @@
         """Parse the received bytes and dispatch the first request."""
         parser, registry = self._parser, self._registry
         if self._closing or parser.fault is not None:
-            return  # bytes left unread would reset the connection at its end, and hide a disconnect
+            # Bytes left unread would reset the connection at its end, and hide a disconnect.
+            self._dispatch()
+            return
         parser.feed(data)
         if parser.continue_expected:
             parser.continue_expected = False
@@ -224,6 +228,15 @@
         if self._closing or not requests or requests[0].dispatched:
             return
         request = requests[0]
+        if not request.refused and close_may_be_unread(self._transport):
+            # With a full receive window, a client's close arrives only after the bytes before it are read,
+            # and the request would be forwarded although its client has disconnected. The next read
+            # therefore dispatches the request, or the close cancels it. Trade-off: a client that never stops
+            # sending gets 503 after a time.
+            if self._waiting_for_input is not request:
+                self._waiting_for_input = request
+                self._owner.loop.call_later(UNREAD_INPUT_TIMEOUT_S, self._refuse_undispatched, request)
+            return
         request.dispatched = True
         request.connection = self
         if request.refused:
@@ -253,6 +266,13 @@
         awaiting = parser.partial is not None or not self.identified
         registry.move_to_phase(self, registry.awaiting_request if awaiting else registry.idle)
 
+    def _refuse_undispatched(self, request: HttpRequest) -> None:
+        """Refuse a request that has waited too long for the end of its client's input."""
+        requests = self._parser.requests
+        if requests and requests[0] is request and not request.dispatched:
+            request.refuse_unread()
+            self._dispatch()
+
     def _respond_to_fault(self, status: HTTPStatus) -> None:
         """Respond to bytes that do not become a request, and end the connection."""
         self._registry.on_close(self, REASONS_BY_STATUS.get(status, CloseReason.MALFORMED))
--- a/loadbalancer/http/socket_state.py
+++ b/loadbalancer/http/socket_state.py
@@ -20,6 +20,15 @@
     return is_readable(transport.get_extra_info("socket").fileno())
 
 
+def close_may_be_unread(transport: asyncio.BaseTransport) -> bool:
+    """Whether bytes are unread, and the end of the stream may follow them without having arrived yet.
+
+    False if the end has arrived: `peer_has_closed` shows it then.
+    """
+    events = _events(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+    return events == select.POLLIN
+
+
 def peer_has_closed(transport: asyncio.BaseTransport) -> bool:
     """Whether the peer has shut down its sending side or the connection, even if bytes are still unread."""
     return _has_event(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
@@ -42,6 +51,12 @@
 
 
 def _has_event(fileno: int, events: int) -> bool:
+    return _events(fileno, events) != 0
+
+
+def _events(fileno: int, events: int) -> int:
+    """Those of the events that have occurred, and errors."""
     poll = select.poll()
     poll.register(fileno, events)
-    return bool(poll.poll(0))
+    found = poll.poll(0)
+    return found[0][1] if found else 0
