Refuse an id that comes again after an endpoint may have executed its request

Cause: an id counted as taken only while its request or an attempt of it was pending (PendingRequests.by_id). After the client had left and the attempt was cancelled, or after the response, the same id was a new request; the endpoint may have executed the first. A pipelined repeat had the same effect.

An id that certainly was not executed may come again. Also on the way: the proxy counts may_be_executed where it records an attempt's result.

--- a/loadbalancer/proxy/pending_request.py
+++ b/loadbalancer/proxy/pending_request.py
@@ -8,6 +8,7 @@
 
 from loadbalancer.events import AttemptResult, ClientDisconnected, Event, IncomingRequest
 from loadbalancer.http.request import HttpRequest
+from loadbalancer.proxy.executed_requests import ExecutedRequests
 from loadbalancer.proxy.statistics import Statistics
 from loadbalancer.proxy.upstream_attempt import UpstreamAttempt
 
@@ -26,6 +27,8 @@
         attempts: the attempts by number; None for one that has ended or that is not sent.
         attempts_in_flight: the number of attempts that have been started and have not ended.
         last_result: the result of the attempt that ended last, None before the first.
+        repeatable: whether a further execution does no harm, because the request is idempotent.
+        may_be_executed: whether an endpoint may have executed an attempt that has ended.
     """
 
     __slots__ = (
@@ -37,9 +40,13 @@
         "http_request",
         "incoming",
         "last_result",
+        "may_be_executed",
+        "repeatable",
     )
 
-    def __init__(self, incoming: IncomingRequest, http_request: HttpRequest, deadline_s: float) -> None:
+    def __init__(
+        self, incoming: IncomingRequest, http_request: HttpRequest, deadline_s: float, *, repeatable: bool
+    ) -> None:
         self.incoming = incoming
         self.http_request = http_request
         self.deadline_s = deadline_s
@@ -48,6 +55,13 @@
         self.attempts: list[UpstreamAttempt | None] = []
         self.attempts_in_flight = 0
         self.last_result: AttemptResult | None = None
+        self.repeatable = repeatable
+        self.may_be_executed = False
+
+    def record_result(self, result: AttemptResult) -> None:
+        """Record the result of an attempt that has ended."""
+        self.last_result = result
+        self.may_be_executed = self.may_be_executed or not result.not_processed
 
     def cancel_attempt(self, number: int) -> None:
         """Cancel the attempt of this number, if it is in flight."""
@@ -85,6 +99,7 @@
 
     def __init__(self, statistics: Statistics, notify_policy: Callable[[Event], None]) -> None:
         self._by_id: dict[str, PendingRequest] = {}
+        self._executed = ExecutedRequests()
         self._open_count = 0
         self._loop = asyncio.get_running_loop()
         self._statistics = statistics
@@ -100,6 +115,10 @@
         """The number of requests that have not ended."""
         return self._open_count
 
+    def is_known(self, request_id: str) -> bool:
+        """Whether a request of this id is pending, or may have been executed and must not be again."""
+        return request_id in self._by_id or request_id in self._executed
+
     def get(self, request_id: str) -> PendingRequest | None:
         """The request of this id, None if it is not pending."""
         return self._by_id.get(request_id)
@@ -156,8 +175,14 @@
 
     def remove_if_complete(self, pending: PendingRequest) -> None:
         """Remove a request that has ended, unless an attempt of it is in flight."""
-        if pending.ended and not pending.attempts_in_flight:
-            self._by_id.pop(pending.incoming.request_id, None)
+        if not pending.ended or pending.attempts_in_flight:
+            return
+        request_id = pending.incoming.request_id
+        self._by_id.pop(request_id, None)
+        # A client may repeat the id of a request after it has disconnected, and the endpoint may have
+        # executed the first one.
+        if pending.may_be_executed and not pending.repeatable:
+            self._executed.add(request_id)
 
     def end_all(self) -> None:
         """Cancel all attempts, then fail the requests that are still open."""
--- a/loadbalancer/proxy/request_forwarding.py
+++ b/loadbalancer/proxy/request_forwarding.py
@@ -107,7 +107,7 @@
         self._statistics.attempts[result.value] += 1
         action, pending = attempt.action, attempt.pending
         load_report = None if response is None else self._load_report(response)
-        pending.last_result = result
+        pending.record_result(result)
         if result is AttemptResult.OK and response is not None:
             self.requests.respond(pending, HTTPStatus.OK, bytes(response.body))
         self.requests.remove_if_complete(pending)
--- a/loadbalancer/proxy/request_intake.py
+++ b/loadbalancer/proxy/request_intake.py
@@ -44,7 +44,7 @@
         """Handle a completely received request."""
         self._statistics.requests_received += 1
         try:
-            pending = parse_request(http_request, self._service_classes, self._requests.by_id, self._clock)
+            pending = parse_request(http_request, self._service_classes, self._requests.is_known, self._clock)
         except BadRequestError as error:
             self._decision_log.record_bad_request(http_request, error.status, error.field)
             http_request.respond(error.status)
--- a/loadbalancer/proxy/request_parsing.py
+++ b/loadbalancer/proxy/request_parsing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Container, Mapping
+from collections.abc import Callable, Mapping
 from http import HTTPStatus
 
 from loadbalancer.events import IncomingRequest
@@ -45,20 +45,20 @@
 def parse_request(
     http_request: HttpRequest,
     service_classes: Mapping[str, ServiceClass],
-    open_request_ids: Container[str],
+    is_known_id: Callable[[str], bool],
     clock: Clock,
 ) -> PendingRequest:
     """Validate a completely received request and convert it.
 
     Raises:
         BadRequestError: the path names no service class, the method does not match it, a header or the body
-            is invalid, or a request with the same id is pending.
+            is invalid, or `is_known_id` says that a request of this id must not be sent again.
     """
     headers = http_request.headers
     service_class = _service_class(http_request, service_classes)
     request_id = _request_id(headers)
     _check_idempotency(http_request, service_class)
-    if request_id in open_request_ids:
+    if is_known_id(request_id):
         raise BadRequestError(HTTPStatus.BAD_REQUEST, "req-id")
     deadline_s = _deadline_s(http_request, service_class)
     tenant = headers.get(TENANT_HEADER)
@@ -70,7 +70,8 @@
         cost_hint_ms=_cost_hint_ms(headers),
         is_retry=headers.get(RETRY_HEADER) == b"1",
     )
-    return PendingRequest(incoming, http_request, deadline_s)
+    repeatable = service_class.idempotency is Idempotency.IDEMPOTENT
+    return PendingRequest(incoming, http_request, deadline_s, repeatable=repeatable)
 
 
 def _service_class(http_request: HttpRequest, service_classes: Mapping[str, ServiceClass]) -> ServiceClass:
--- a/tests/proxy/test_start.py
+++ b/tests/proxy/test_start.py
@@ -31,7 +31,15 @@
         *("selection", "slow_start", "tenant_quota", "tracked_endpoint"),
     },
     "loadbalancer.proxy": {
-        *("clock", "config", "connection_pool", "decision_log", "graceful_shutdown", "membership"),
+        *(
+            "clock",
+            "config",
+            "connection_pool",
+            "decision_log",
+            "executed_requests",
+            "graceful_shutdown",
+            "membership",
+        ),
         *("pending_request", "policy_runner", "process_memory"),
         *("proxy", "request_forwarding", "request_intake", "request_parsing"),
         *("statistics", "upstream_attempt"),
