Do not retry a request at the process that has already had it under another name

Cause: the retry rules exclude tried endpoints by name. An attempt at the name of a process that has gone reaches the process now at its address; when the list names that one, it counts as untried and gets the retry.

Change: a request remembers the address and time of each attempt that may have been executed. An attempt at the same address is not sent if the process there had started before the earlier one; the policy then chooses another endpoint. A process that started later, so after the earlier attempt, is another one and gets the retry as before. The list of these attempts also says whether an id may have been executed.

Result: the case of the earlier start fails without the check and passes with it; the case of the later start passes with both.

--- a/loadbalancer/proxy/pending_request.py
+++ b/loadbalancer/proxy/pending_request.py
@@ -5,8 +5,10 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
+from typing import NamedTuple
 
 from loadbalancer.events import AttemptResult, ClientDisconnected, Event, IncomingRequest
+from loadbalancer.http.addresses import Address
 from loadbalancer.http.request import HttpRequest
 from loadbalancer.proxy.executed_requests import ExecutedRequests
 from loadbalancer.proxy.statistics import Statistics
@@ -15,6 +17,13 @@
 BACKSTOP_DELAY_S = 0.005  # after a request's deadline, until the proxy sends the final response itself
 
 
+class PossibleExecution(NamedTuple):
+    """An attempt that an endpoint may have executed."""
+
+    address: Address
+    sent_at_s: float  # on the event loop's clock
+
+
 class PendingRequest:
     """A request, its client and its attempts.
 
@@ -28,7 +37,7 @@
         attempts_in_flight: the number of attempts that have been started and have not ended.
         last_result: the result of the attempt that ended last, None before the first.
         repeatable: whether a further execution does no harm, because the request is idempotent.
-        may_be_executed: whether an endpoint may have executed an attempt that has ended.
+        executions: the attempts that have ended and that an endpoint may have executed.
     """
 
     __slots__ = (
@@ -37,10 +46,10 @@
         "backstop",
         "deadline_s",
         "ended",
+        "executions",
         "http_request",
         "incoming",
         "last_result",
-        "may_be_executed",
         "repeatable",
     )
 
@@ -56,12 +65,7 @@
         self.attempts_in_flight = 0
         self.last_result: AttemptResult | None = None
         self.repeatable = repeatable
-        self.may_be_executed = False
-
-    def record_result(self, result: AttemptResult) -> None:
-        """Record the result of an attempt that has ended."""
-        self.last_result = result
-        self.may_be_executed = self.may_be_executed or not result.not_processed
+        self.executions: list[PossibleExecution] = []
 
     def cancel_attempt(self, number: int) -> None:
         """Cancel the attempt of this number, if it is in flight."""
@@ -95,14 +99,18 @@
 
 
 class PendingRequests:
-    """All pending requests; sends the one final response of each."""
+    """All pending requests; sends the one final response of each.
+
+    Attributes:
+        statistics: the proxy's counters.
+    """
 
     def __init__(self, statistics: Statistics, notify_policy: Callable[[Event], None]) -> None:
         self._by_id: dict[str, PendingRequest] = {}
         self._executed = ExecutedRequests()
         self._open_count = 0
         self._loop = asyncio.get_running_loop()
-        self._statistics = statistics
+        self.statistics = statistics
         self._notify_policy = notify_policy
 
     @property
@@ -137,7 +145,7 @@
     ) -> None:
         """Send the final response of a request; no effect if the request has ended."""
         if not pending.ended:
-            self._statistics.responses[status] += 1
+            self.statistics.responses[status] += 1
             self._end(pending)
             send_response(pending.http_request, status, body, retry_after_ms)
 
@@ -169,7 +177,7 @@
         # because the event loop handles other sockets or the request itself first. A late event loop makes
         # this likely. The socket is therefore examined here. Trade-off: one system call per attempt.
         if not pending.ended and pending.http_request.client_disconnected:
-            self._statistics.unread_client_disconnects += 1
+            self.statistics.unread_client_disconnects += 1
             self._on_disconnect(pending)
         return not pending.ended
 
@@ -181,7 +189,7 @@
         self._by_id.pop(request_id, None)
         # A client may repeat the id of a request after it has disconnected, and the endpoint may have
         # executed the first one.
-        if pending.may_be_executed and not pending.repeatable:
+        if pending.executions and not pending.repeatable:
             self._executed.add(request_id)
 
     def end_all(self) -> None:
@@ -204,7 +212,7 @@
 
     def _on_disconnect(self, pending: PendingRequest) -> None:
         if not pending.ended:
-            self._statistics.client_disconnects += 1
+            self.statistics.client_disconnects += 1
             self._end(pending)
             self._notify_policy(ClientDisconnected(pending.incoming.request_id))
 
@@ -212,6 +220,6 @@
         # If the policy has not ended a request by its deadline, its client would time out without a response.
         # The proxy therefore sends the final response itself.
         if not pending.ended:
-            self._statistics.missed_deadlines += 1
+            self.statistics.missed_deadlines += 1
             self.respond(pending, HTTPStatus.GATEWAY_TIMEOUT)
             self._notify_policy(ClientDisconnected(pending.incoming.request_id))
--- a/loadbalancer/proxy/policy_runner.py
+++ b/loadbalancer/proxy/policy_runner.py
@@ -52,7 +52,7 @@
         self._clock = clock
         self._statistics = statistics
         self._start_watch = start_watch
-        self._forwarder = RequestForwarder(policy.settings, self.requests, pool, statistics, self.notify)
+        self._forwarder = RequestForwarder(policy.settings, clock, self.requests, pool, self.notify)
         self._loop = asyncio.get_running_loop()
         self._events: deque[Event] = deque()
         self._handling_events = False
--- a/loadbalancer/proxy/request_forwarding.py
+++ b/loadbalancer/proxy/request_forwarding.py
@@ -8,12 +8,13 @@
 
 from loadbalancer.actions import Send
 from loadbalancer.events import AttemptOutcome, AttemptResult, Event, LoadReport
+from loadbalancer.http.addresses import Address
 from loadbalancer.http.client_connection import HttpResponse
 from loadbalancer.http.request import HttpRequest
 from loadbalancer.platform_settings import parse_load_report
-from loadbalancer.proxy.connection_pool import ConnectionPool
-from loadbalancer.proxy.pending_request import PendingRequest, PendingRequests
-from loadbalancer.proxy.statistics import Statistics
+from loadbalancer.proxy.clock import Clock
+from loadbalancer.proxy.connection_pool import ConnectionPool, EndpointConnections
+from loadbalancer.proxy.pending_request import PendingRequest, PendingRequests, PossibleExecution
 from loadbalancer.proxy.upstream_attempt import UpstreamAttempt
 from loadbalancer.settings import Settings
 
@@ -32,9 +33,10 @@
         pending: the request that the attempt belongs to.
         number: the number of the attempt, from 0 for each request.
         created_at_s: the time of the action, on the event loop's clock.
+        address: the address that it is sent to; None before the start.
     """
 
-    __slots__ = ("_forwarder", "action", "created_at_s", "number", "pending")
+    __slots__ = ("_forwarder", "action", "address", "created_at_s", "number", "pending")
 
     def __init__(
         self,
@@ -49,6 +51,7 @@
         self.pending = pending
         self.number = number
         self.created_at_s = created_at_s
+        self.address: Address | None = None
 
     def encode(self, remaining_s: float) -> bytes:
         """The bytes of the client's request, with the remaining time as its deadline."""
@@ -61,6 +64,8 @@
     def on_result(self, result: AttemptResult, response: HttpResponse | None) -> None:
         """Record the end of a started attempt."""
         self.pending.attempts_in_flight -= 1
+        if self.address is not None and not result.not_processed:
+            self.pending.executions.append(PossibleExecution(self.address, self.created_at_s))
         self.pending.attempts[self.number] = None
         self._forwarder.on_result(self, result, response)
 
@@ -75,15 +80,16 @@
     def __init__(
         self,
         settings: Settings,
+        clock: Clock,
         requests: PendingRequests,
         pool: ConnectionPool,
-        statistics: Statistics,
         notify_policy: Callable[[Event], None],
     ) -> None:
         self.requests = requests
         self._settings = settings
+        self._clock = clock
         self._pool = pool
-        self._statistics = statistics
+        self._statistics = requests.statistics
         self._notify_policy = notify_policy
         self._loop = asyncio.get_running_loop()
 
@@ -107,7 +113,7 @@
         self._statistics.attempts[result.value] += 1
         action, pending = attempt.action, attempt.pending
         load_report = None if response is None else self._load_report(response)
-        pending.record_result(result)
+        pending.last_result = result
         if result is AttemptResult.OK and response is not None:
             self.requests.respond(pending, HTTPStatus.OK, bytes(response.body))
         self.requests.remove_if_complete(pending)
@@ -140,6 +146,10 @@
         if endpoint is None:
             attempt.on_result(AttemptResult.CONNECT_FAILED, None)
             return
+        if self._may_have_executed(pending, endpoint):
+            attempt.on_result(AttemptResult.NOT_SENT, None)
+            return
+        attempt.address = endpoint.address
         timeout_s = pending.deadline_s - attempt.created_at_s
         if action.timeout_ms > 0.0:
             timeout_s = min(timeout_s, action.timeout_ms / 1000.0)
@@ -150,6 +160,18 @@
         pending.attempts[attempt.number] = upstream_attempt
         upstream_attempt.start(endpoint)
 
+    def _may_have_executed(self, pending: PendingRequest, endpoint: EndpointConnections) -> bool:
+        """Whether an earlier attempt of the request has reached this very process under another name."""
+        # A process that comes up at the address of one that has gone gets the attempts at the old name until
+        # the list says so. Under its own name it is a new endpoint for the policy, and would get the retry.
+        if endpoint.started_ms is None:
+            return False
+        return any(
+            execution.address == endpoint.address
+            and endpoint.started_ms <= self._clock.to_unix_ms(execution.sent_at_s)
+            for execution in pending.executions
+        )
+
     def _load_report(self, response: HttpResponse) -> LoadReport | None:
         """The load report of a response, None if it has none."""
         value = response.headers.get(LOAD_REPORT_HEADER)
--- a/tests/proxy/test_address_handover.py
+++ b/tests/proxy/test_address_handover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import Any
 
 import orjson
@@ -10,8 +11,11 @@
 from loadbalancer.discovery.endpoint_list import parse_endpoint_list
 from loadbalancer.events import UpdateKind
 from loadbalancer.proxy.proxy import Proxy
-from tests.support.messages import targets
+from tests.support.loopback import LoopbackServer, running_proxy, send_request
+from tests.support.messages import Message, request, response_bytes, targets
+from tests.support.proxy import policy_sending_to
 from tests.support.proxy_config import config
+from tests.support.scripted_policy import script_policy
 
 SHARED = "127.0.0.1:9"
 OTHER = "127.0.0.1:10"
@@ -73,3 +77,27 @@
     assert {endpoint.listed.name for endpoint in proxy.policy.endpoints.ready} == ready
     assert {name for name in ("old", "new", "twin") if proxy.pool.get(name)} == ready
     proxy.close()
+
+
+@pytest.mark.parametrize(
+    ("started_after_s", "executions"),
+    [
+        pytest.param(-60.0, 1, id="started before the attempt"),
+        pytest.param(60.0, 2, id="started after the attempt"),
+    ],
+)
+async def test_retry_does_not_reach_the_same_process_under_another_name(started_after_s, executions):
+    """Guards against a second execution by the process that already had the attempt at the old name."""
+    backend = LoopbackServer()
+
+    async def replace_and_reset(_message: Message) -> bytes | None:
+        started_ms = int((time.time() + started_after_s) * 1000)
+        proxy.membership.apply(*update(True, entry("new", backend.endpoint, started_ms=started_ms)))
+        return None if len(backend.received) == 1 else response_bytes()
+
+    backend.script = replace_and_reset
+    async with running_proxy(backend) as proxy:
+        script_policy(proxy, policy_sending_to("s0", "new"))
+        response = await send_request(proxy, request(name="q1"))
+    assert backend.request_ids == ["q1"] * executions
+    assert response.status == (502 if executions == 1 else 200)
