Ignore a load report that comes from the process before a restart

Change: the report of an attempt counts only while the process that got the attempt is still the listed one.

--- a/loadbalancer/policy/policy.py
+++ b/loadbalancer/policy/policy.py
@@ -126,8 +126,7 @@
             case IncomingRequest():
                 actions = self.requests.receive(now_ms, event)
             case AttemptOutcome():
-                self.endpoints.observe_load_report(now_ms, event.endpoint, event.load_report)
-                actions = self.requests.finish_attempt(now_ms, event)
+                actions = self._on_outcome(now_ms, event)
             case TimerFired():
                 actions = self._on_timer(now_ms, event)
             case MembershipUpdate():
@@ -153,6 +152,12 @@
             return [StartTimer(self.period_ms, PERIOD_TIMER)]
         return self._start_watch(now_ms) if timer.name == WATCH_TIMER else []
 
+    def _on_outcome(self, now_ms: float, outcome: AttemptOutcome) -> list[Action]:
+        # A late response of the process before a restart has the load of that process, not of the new one.
+        if not self.requests.is_of_replaced_endpoint(outcome):
+            self.endpoints.observe_load_report(now_ms, outcome.endpoint, outcome.load_report)
+        return self.requests.finish_attempt(now_ms, outcome)
+
     def _on_membership(self, now_ms: float, update: MembershipUpdate) -> list[Action]:
         if update.kind is UpdateKind.UNAVAILABLE:
             return [StartTimer(self._discovery_backoff.observe_failure(now_ms), WATCH_TIMER)]
--- a/loadbalancer/policy/request_tracker.py
+++ b/loadbalancer/policy/request_tracker.py
@@ -74,6 +74,14 @@
             return self._send_or_respond(now_ms, state)
         return self._respond(state)
 
+    def is_of_replaced_endpoint(self, outcome: AttemptOutcome) -> bool:
+        """Whether another process is listed by now under the name of the attempt's endpoint."""
+        state = self._open.get(outcome.request_id)
+        if state is None or outcome.attempt >= len(state.tried_endpoints):
+            return False
+        tried = state.tried_endpoints[outcome.attempt]
+        return self._endpoints.by_name.get(tried.listed.name) is not tried
+
     def finish_attempt(self, now_ms: float, outcome: AttemptOutcome) -> list[Action]:
         """Record the outcome of an attempt, then end its request, retry it, or reject or fail it.
 
--- a/tests/policy/test_endpoint_set.py
+++ b/tests/policy/test_endpoint_set.py
@@ -72,3 +72,13 @@
     harness.finish(first, AttemptResult.REJECTED, 1.0, done=True)
     endpoint = harness.tracked("s0")
     assert (endpoint.reported_queue, endpoint.reported_ms) == (2.0, harness.now_ms)
+
+
+def test_load_report_of_a_replaced_process_is_not_that_of_the_new_one():
+    """Guards against a late response of the old process, which is full, keeping requests from the new one."""
+    harness = PolicyHarness(endpoint_count=1)
+    request = harness.submit()
+    harness.list_endpoints(Endpoint("s0", "a", started_ms=harness.now_ms))
+    harness.finish(request, AttemptResult.OK, load_report=LoadReport(in_flight=50.0, utilisation=1.0))
+    assert harness.tracked("s0").reported_ms < harness.now_ms
+    assert not harness.policy.endpoints.reports_in_flight()
