Hold a waiting request while a response is unread, also when more bytes arrive

Once a request waits for its client's input, each further read may dispatch it; behind a fault that did not look at the phase, so that a request was dispatched while the response before it was still unread.

Change: nothing is dispatched in the unread phase.

Result: the extended test sends noise behind the waiting request; it fails without the change and passes with it.

--- a/loadbalancer/http/server_connection.py
+++ b/loadbalancer/http/server_connection.py
@@ -225,7 +225,8 @@
     def _dispatch(self) -> None:
         """Dispatch the oldest complete request, unless it is already dispatched."""
         requests = self._parser.requests
-        if self._closing or not requests or requests[0].dispatched:
+        unread = self.phase is self._registry.unread
+        if self._closing or unread or not requests or requests[0].dispatched:
             return
         request = requests[0]
         if not request.refused and close_may_be_unread(self._transport):
--- a/tests/http/test_server_connection.py
+++ b/tests/http/test_server_connection.py
@@ -10,10 +10,13 @@
 
 from loadbalancer.http.request import HttpRequest
 from loadbalancer.http.request_parser import MAX_PIPELINED_REQUESTS
+from loadbalancer.http.socket_state import has_unread_data
 from tests.support.loopback import HttpClient, StalledBackend, always, until
 from tests.support.messages import request, response_bytes
 from tests.support.slow_reader import LARGE_BODY, slow_reader
 
+NOISE = b"\x00 no request\r\n\r\n"
+
 
 @pytest.fixture
 def backend():
@@ -89,8 +92,12 @@
     async with slow_reader(proxy) as (client, connection):
         client.sendall(request("post", "q1") + request("post", "q2"))
         await until(lambda: connection.unsent_bytes)
-        client.sendall(request("post", "q3"))
+        client.sendall(request("post", "q3") + NOISE)
+        client.sendall(NOISE)
         await until(lambda: connection.open_request_count == 2 or not connection.is_open)
+        await until(lambda: connection._parser.fault is not None)
+        client.sendall(NOISE)
+        await until(lambda: not connection.is_open or not has_unread_data(connection._transport))
         assert backend.request_ids == ["q1"]
         if reads:
             received = await asyncio.to_thread(client.makefile("rb").read, 3 * len(LARGE_BODY))
