Limit the fields and the body parts of a message

Cause: a read of 64 KiB holds up to 20,000 fields or 10,000 chunks, and each costs a call; the sum over the clients that are readable in one iteration of the event loop delayed all others. The limits counted bytes only.

Change: a message has at most 256 headers and trailers, and a request's body at most 4,096 parts; beyond it the request gets 400 or 413, and a response is unusable.

The tests of 300 fields and 4,097 chunks fail without the limits (no error, or a response after the request time-out); 256 fields and 4,096 chunks are forwarded.

--- a/loadbalancer/http/request_parser.py
+++ b/loadbalancer/http/request_parser.py
@@ -10,7 +10,13 @@
 
 import httptools
 
-from loadbalancer.http.message_sizes import MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_UNPARSED_BYTES
+from loadbalancer.http.message_sizes import (
+    MAX_BODY_BYTES,
+    MAX_BODY_PARTS,
+    MAX_FIELDS,
+    MAX_HEAD_BYTES,
+    MAX_UNPARSED_BYTES,
+)
 from loadbalancer.http.request import HttpRequest
 
 MAX_PIPELINED_REQUESTS = 32  # complete requests that may wait on one connection
@@ -53,6 +59,8 @@
         self.continue_expected = False
         self._in_head = False
         self._section_bytes = 0  # counted against the limit of the head or of the body
+        self._fields = 0
+        self._body_parts = 0
         self._unparsed_bytes = 0  # in the latest reads; limited by `MAX_UNPARSED_BYTES`
 
     @property
@@ -115,6 +123,7 @@
         """Start a request; like the other `on_` methods, called by httptools."""
         self.partial = HttpRequest()
         self._section_bytes = 0
+        self._fields = self._body_parts = 0
         self._in_head = True
 
     def on_url(self, url: bytes) -> None:
@@ -129,7 +138,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header that is read; a repeated single-value header or a trailer is a fault."""
         self._section_bytes += len(name) + len(value)
-        if self._section_bytes > MAX_HEAD_BYTES:
+        self._fields += 1
+        if self._section_bytes > MAX_HEAD_BYTES or self._fields > MAX_FIELDS:
             self._fail_oversized(HTTPStatus.BAD_REQUEST)
         request = self.partial
         if request is None or self.fault is not None:
@@ -169,7 +179,8 @@
         """Append a part of the body."""
         self._unparsed_bytes = 0
         self._section_bytes += len(body)
-        if self._section_bytes > MAX_BODY_BYTES:
+        self._body_parts += 1
+        if self._section_bytes > MAX_BODY_BYTES or self._body_parts > MAX_BODY_PARTS:
             self._fail_oversized(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         if self.partial is not None and self.fault is None:
             self.partial.body += body
--- a/loadbalancer/http/response_parser.py
+++ b/loadbalancer/http/response_parser.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from loadbalancer.http.message_sizes import MAX_HEAD_BYTES, MAX_UNPARSED_BYTES
+from loadbalancer.http.message_sizes import MAX_FIELDS, MAX_HEAD_BYTES, MAX_UNPARSED_BYTES
 
 # The headers that are read; others are counted against the limit and dropped, since a stored header takes
 # some hundred bytes in addition to its own.
@@ -43,6 +43,7 @@
         self._in_head = True
         self._until_close = False  # the end of the connection delimits the body
         self._field_bytes = 0  # of the names and values in the head, or in the trailer section
+        self._fields = 0  # in the head and the trailer section
         self._unparsed_bytes = 0  # in the latest reads; limited by `MAX_UNPARSED_BYTES`
 
     def start_response(self) -> None:
@@ -51,7 +52,7 @@
         self.complete = False
         self._in_head = True
         self._until_close = False
-        self._field_bytes = self._unparsed_bytes = 0
+        self._field_bytes = self._fields = self._unparsed_bytes = 0
 
     def feed(self, data: bytes | memoryview) -> None:
         """Parse the next bytes; must not be called after `close`. Raises nothing."""
@@ -98,7 +99,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header that is read; trailers are ignored."""
         self._field_bytes += len(name) + len(value)
-        if self._field_bytes > MAX_HEAD_BYTES:
+        self._fields += 1
+        if self._field_bytes > MAX_HEAD_BYTES or self._fields > MAX_FIELDS:
             self.unusable = True
         name = name.lower()
         if self._in_head and name in READ_HEADERS:
@@ -134,7 +136,7 @@
         status = self._parser.get_status_code()
         if status < FIRST_FINAL_STATUS:
             self.response = HttpResponse()
-            self._field_bytes = 0
+            self._field_bytes = self._fields = 0
             return
         self.response.status = status
         self.complete = True
--- a/tests/proxy/test_event_loop_iterations.py
+++ b/tests/proxy/test_event_loop_iterations.py
@@ -15,7 +15,7 @@
 from loadbalancer.discovery.watch_client import MAX_ENDPOINT_LIST_BYTES
 from loadbalancer.events import UpdateKind
 from loadbalancer.http.client_connection import ClientConnection, HttpResponse
-from loadbalancer.http.message_sizes import MAX_HEAD_BYTES
+from loadbalancer.http.message_sizes import MAX_BODY_PARTS, MAX_HEAD_BYTES
 from loadbalancer.http.server_connection import ServerConnection
 from loadbalancer.proxy.membership import Membership
 from loadbalancer.proxy.proxy import Proxy
@@ -106,3 +106,24 @@
 async def test_head_that_is_too_long_is_not_read_further():
     short, long = [await calls_for_head(factor * MAX_HEAD_BYTES) for factor in (4, 16)]
     assert long < 1.25 * short
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        pytest.param(b"GET /read/1 HTTP/1.1\r\n" + 16_000 * b"A:\r\n", 400, id="short fields"),
+        pytest.param(
+            b"POST /post/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + 10_000 * b"1\r\nx\r\n",
+            413,
+            id="short chunks",
+        ),
+    ],
+)
+async def test_cost_of_one_read_is_limited_however_short_its_parts_are(data, status, proxy):
+    """Guards against hundreds of such clients delaying the requests of others by their sum."""
+    client = await HttpClient.to(proxy)
+    await until(lambda: proxy.listener.connections)
+    (connection,) = proxy.listener.connections
+    count = count_calls(lambda: connection.data_received(data))
+    assert (await client.read_response()).status == status
+    assert count < 4 * MAX_BODY_PARTS
--- a/tests/proxy/test_request_parsing.py
+++ b/tests/proxy/test_request_parsing.py
@@ -42,6 +42,7 @@
         pytest.param(request(Req_Deadline_Ms="-5"), 400, id="negative deadline"),
         pytest.param(request(X_Long="y" * 20_000), 400, id="long header"),
         pytest.param(b"GET /read/1 HTTP/1.1\r\nX-Endless: " + b"y" * 200_000, 400, id="endless header"),
+        pytest.param(b"GET /read/1 HTTP/1.1\r\n" + 300 * b"A: b\r\n", 400, id="300 fields"),
         pytest.param(request("move"), 400, id="no idempotency key"),
         pytest.param(request("other"), 404, id="unknown service class"),
         pytest.param(b"GET / HTTP/1.1\r\nReq-Id: q\r\n\r\n", 404, id="no service class"),
@@ -51,6 +52,7 @@
             b"POST /post/1 HTTP/1.1\r\nReq-Id: q\r\nContent-Length: 99999999\r\n\r\n", 413, id="long length"
         ),
         pytest.param(CHUNKED + b"10001\r\n" + TOO_LONG + b"\r\n0\r\n\r\n", 413, id="chunked over 64 KiB"),
+        pytest.param(CHUNKED + 4097 * b"1\r\nx\r\n", 413, id="4097 chunks"),
     ],
 )
 async def test_bad_request_gets_an_error_and_never_reaches_the_policy(data, status, proxy):
@@ -83,3 +85,15 @@
     client.writer.write(b"".join(request("post", f"q{index}", b"%d" % index) for index in range(5)))
     assert [(await client.read_response()).body for _ in range(5)] == [b"0", b"1", b"2", b"3", b"4"]
     assert (await client.send(request("post", "q9", b"9"))).body == b"9"
+
+
+@pytest.mark.parametrize(
+    ("data", "body"),
+    [
+        pytest.param(request("post", "q2")[:-2] + 253 * b"A: b\r\n" + b"\r\n", b"", id="256 fields"),
+        pytest.param(CHUNKED + 4096 * b"1\r\nx\r\n" + b"0\r\n\r\n", 4096 * b"x", id="4096 chunks"),
+    ],
+)
+async def test_request_with_the_most_fields_or_chunks_is_forwarded(data, body, backend, proxy):
+    assert (await send_request(proxy, data)).status == 200
+    assert backend.received[0].body == body
