--- a/loadbalancer/http/byte_budget.py
+++ b/loadbalancer/http/byte_budget.py
@@ -15,38 +15,38 @@
 
     Attributes:
         limit: the most bytes that may be held; infinite where the owner sets no limit.
-        held: the bytes that are held.
+        buffered: the bytes that are buffered.
         peak: the most bytes that have been held since the last `take_peak`.
     """
 
-    __slots__ = ("held", "limit", "peak")
+    __slots__ = ("buffered", "limit", "peak")
 
     def __init__(self, limit: float = math.inf) -> None:
         self.limit = limit
-        self.held = 0
+        self.buffered = 0
         self.peak = 0
 
     def change(self, difference: int) -> None:
         """Add bytes that a connection holds in addition, or subtract released ones."""
-        self.held += difference
-        self.peak = max(self.peak, self.held)
+        self.buffered += difference
+        self.peak = max(self.peak, self.buffered)
 
     def take_peak(self) -> int:
         """Return the most bytes held since the last call, and start the measurement again."""
-        peak, self.peak = self.peak, self.held
+        peak, self.peak = self.peak, self.buffered
         return peak
 
     @property
     def allows_partial_requests(self) -> bool:
         """Whether partly received requests and unread responses may stay."""
-        return self.held <= self.limit * PARTIAL_FRACTION
+        return self.buffered <= self.limit * PARTIAL_FRACTION
 
     @property
     def allows_requests(self) -> bool:
         """Whether one more complete request may be open."""
-        return self.held <= self.limit * REQUEST_FRACTION
+        return self.buffered <= self.limit * REQUEST_FRACTION
 
     @property
     def allows_responses(self) -> bool:
         """Whether a response may be received further."""
-        return self.held <= self.limit
+        return self.buffered <= self.limit
--- a/loadbalancer/http/client_connection.py
+++ b/loadbalancer/http/client_connection.py
@@ -68,9 +68,9 @@
         )
 
     @property
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Bytes of the current request and response that the connection holds in the process."""
-        return self._parser.held_bytes + self.unsent_bytes
+        return self._parser.buffered_bytes + self.unsent_bytes
 
     @property
     def request_written(self) -> bool:
@@ -88,7 +88,7 @@
         self._request_written = (
             not self._transport.is_closing() and not self._transport.get_write_buffer_size()
         )
-        self._count_held_bytes()
+        self._count_buffered_bytes()
 
     def abort(self) -> None:
         """Close at once and discard unsent bytes; the exchange, if any, gets no further callback."""
@@ -105,7 +105,7 @@
         # asyncio discards its write buffer before it calls `connection_lost`, so that its size does not show
         # then whether the request is written.
         self._request_written = True
-        self._count_held_bytes()
+        self._count_buffered_bytes()
 
     def _receive(self, data: bytes | memoryview) -> None:
         """Parse the received bytes; end the exchange when its response is complete or unusable."""
@@ -114,7 +114,7 @@
             self.abort()
             return
         parser.feed(data)
-        self._count_held_bytes()
+        self._count_buffered_bytes()
         if parser.complete:
             self._deliver_response(exchange)
         elif parser.unusable or not self._budget.allows_responses:
@@ -133,7 +133,7 @@
     def connection_lost(self, _exc: Exception | None) -> None:
         """Notify the owner, and fail the exchange."""
         self._ended = True
-        self._release_held_bytes()
+        self._release_buffered_bytes()
         self._on_closed(self)
         self._fail_exchange()
         self._parser.close()
@@ -144,7 +144,7 @@
         if self._parser.unusable or not self._request_written:
             self.abort()
         exchange.on_response(self._parser.take_response())
-        self._count_held_bytes()
+        self._count_buffered_bytes()
 
     def _fail_exchange(self) -> None:
         exchange = self._exchange
--- a/loadbalancer/http/connection_registry.py
+++ b/loadbalancer/http/connection_registry.py
@@ -21,7 +21,7 @@
         """Bytes of responses that are not sent yet because the client reads too slowly."""
 
     @property
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Bytes of requests and responses that the connection holds in the process."""
 
     @property
--- a/loadbalancer/http/listener.py
+++ b/loadbalancer/http/listener.py
@@ -10,6 +10,7 @@
 from loadbalancer.http.byte_budget import ByteBudget
 from loadbalancer.http.close_reason import CloseReason
 from loadbalancer.http.connection_registry import ConnectionRegistry, RegisteredConnection
+from loadbalancer.http.downstream_connection import DownstreamConnection
 from loadbalancer.http.eviction import IDLE_GRACE_S, evict_over_limit
 from loadbalancer.http.listening_sockets import ListeningSockets
 from loadbalancer.http.protocol import new_receive_buffer
@@ -110,7 +111,7 @@
         """
         return evict_over_limit(self.registry, grace_s)
 
-    def connection_opened(self, connection: ServerConnection) -> None:
+    def connection_opened(self, connection: DownstreamConnection) -> None:
         """Register a new connection; evict another or abort the new one if the limit requires it."""
         registry = self.registry
         registry.add(connection)
--- a/loadbalancer/http/memory_relief.py
+++ b/loadbalancer/http/memory_relief.py
@@ -22,7 +22,7 @@
     for connection in list(registry.awaiting_request.connections):
         if registry.budget.allows_partial_requests:
             return
-        if connection.held_bytes:
+        if connection.buffered_bytes:
             connection.refuse_partial_request()
 
 
--- a/loadbalancer/http/protocol.py
+++ b/loadbalancer/http/protocol.py
@@ -58,7 +58,7 @@
 
     @property
     @abstractmethod
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Bytes of messages that the connection holds in the process."""
 
     @abstractmethod
@@ -69,14 +69,14 @@
     def _receive(self, data: bytes | memoryview) -> None:
         """Handle received bytes."""
 
-    def _count_held_bytes(self) -> None:
+    def _count_buffered_bytes(self) -> None:
         """Report the bytes that are held now to the budget; called after each change."""
-        held_bytes = self.held_bytes
-        if held_bytes != self._counted_bytes:
-            self._budget.change(held_bytes - self._counted_bytes)
-            self._counted_bytes = held_bytes
+        buffered_bytes = self.buffered_bytes
+        if buffered_bytes != self._counted_bytes:
+            self._budget.change(buffered_bytes - self._counted_bytes)
+            self._counted_bytes = buffered_bytes
 
-    def _release_held_bytes(self) -> None:
+    def _release_buffered_bytes(self) -> None:
         """Report to the budget that nothing is held any more, because the connection is lost."""
         self._budget.change(-self._counted_bytes)
         self._counted_bytes = 0
--- a/loadbalancer/http/request.py
+++ b/loadbalancer/http/request.py
@@ -53,7 +53,7 @@
     on_disconnect: Callable[[], None] | None = None  # called if the client disconnects before the response
 
     @property
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Bytes of the request that are held in the process."""
         return OBJECT_BYTES + self.head_bytes + len(self.body)
 
--- a/loadbalancer/http/request_parser.py
+++ b/loadbalancer/http/request_parser.py
@@ -3,10 +3,8 @@
 from __future__ import annotations
 
 import re
-from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
-from itertools import islice
 
 import httptools
 
@@ -18,8 +16,8 @@
     MAX_UNPARSED_BYTES,
 )
 from loadbalancer.http.request import HttpRequest
+from loadbalancer.http.request_queue import RequestQueue
 
-MAX_PIPELINED_REQUESTS = 32  # complete requests that may wait on one connection
 SUPPORTED_VERSIONS = ("1.1", "1.0")
 TARGET_PATTERN = re.compile(rb"/[\x21-\x7e]*")
 
@@ -44,7 +42,7 @@
     requests that precede it, then sends the fault's status and closes the connection.
 
     Attributes:
-        requests: The complete requests, oldest first; the owner removes a request when it has responded.
+        requests: The complete requests; the owner removes a request when it has responded.
         partial: The partly received request, or None.
         fault: The status of the response to the first part of the stream that isn't a valid request, or None.
         continue_expected: Whether the client waits for `100 Continue`; reset by the owner.
@@ -53,7 +51,7 @@
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock = clock
         self._parser = httptools.HttpRequestParser(self)
-        self.requests: deque[HttpRequest] = deque()
+        self.requests = RequestQueue()
         self.partial: HttpRequest | None = None
         self.fault: HTTPStatus | None = None
         self.continue_expected = False
@@ -64,10 +62,10 @@
         self._unparsed_bytes = 0  # in the latest reads; limited by `MAX_UNPARSED_BYTES`
 
     @property
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Bytes of the requests that are held in the process, the partly received one included."""
-        partial = 0 if self.partial is None else self.partial.held_bytes
-        return partial + sum([request.held_bytes for request in self.requests])
+        partial = 0 if self.partial is None else self.partial.buffered_bytes
+        return partial + self.requests.buffered_bytes
 
     def feed(self, data: bytes | memoryview) -> None:
         """Parse the next bytes; must not be called after a fault or `close`. Raises nothing."""
@@ -83,22 +81,11 @@
         if self.fault is not None:
             self.discard_partial()
 
-    def cancel_requests(self) -> None:
-        """Cancel the complete requests, because the client has disconnected."""
-        requests, self.requests = self.requests, deque()
-        for request in requests:
-            request.cancel()
-
     def refuse_rest(self, status: HTTPStatus) -> None:
         """Parse nothing more: what follows the complete requests gets this status."""
         self._fail(status)
         self.discard_partial()
 
-    def refuse_waiting(self) -> None:
-        """Release the content of the requests that wait behind the first; each still gets its response."""
-        for request in islice(self.requests, 1, None):
-            request.refuse_unread()
-
     def discard_partial(self) -> None:
         """Release the partly received request; its bytes that still arrive must not be parsed."""
         self.partial = None
@@ -160,20 +147,9 @@
         if request is None or self.fault is not None:
             return
         self._section_bytes = 0
-        headers = request.headers
-        length, coding = headers.get(b"content-length"), headers.get(b"transfer-encoding")
-        # With both a length and a coding, two readers may disagree on where the request ends, so that one of
-        # them parses a second request (request smuggling). Only one of the two, or none, is accepted.
-        if coding is not None and (length is not None or coding.lower() != b"chunked"):
-            self.fault = HTTPStatus.BAD_REQUEST
-        elif length is not None and int(length) > MAX_BODY_BYTES:
-            self.fault = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
-        elif not TARGET_PATTERN.fullmatch(request.target):
-            self.fault = HTTPStatus.BAD_REQUEST
-        elif self._parser.get_http_version() not in SUPPORTED_VERSIONS:
-            self.fault = HTTPStatus.HTTP_VERSION_NOT_SUPPORTED
-        elif headers.get(b"expect", b"").lower() == b"100-continue" and not self.requests:
-            self.continue_expected = True
+        self.fault = _head_fault(request, self._parser.get_http_version())
+        expects = request.headers.get(b"expect", b"").lower() == b"100-continue"
+        self.continue_expected = expects and self.fault is None and not self.requests
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
@@ -196,10 +172,22 @@
         request.keep_alive = self._parser.should_keep_alive()
         # A client that pipelines requests without end would exhaust the memory. Their number and the sum of
         # their bodies are therefore limited.
-        if (
-            len(self.requests) >= MAX_PIPELINED_REQUESTS
-            or sum(len(queued.body) for queued in self.requests) > MAX_BODY_BYTES
-        ):
+        if self.requests.is_full:
             self.fault = HTTPStatus.TOO_MANY_REQUESTS
             return
         self.requests.append(request)
+
+
+def _head_fault(request: HttpRequest, version: str) -> HTTPStatus | None:
+    """The status for a head whose framing, target or version is not accepted; None if all are."""
+    headers = request.headers
+    length, coding = headers.get(b"content-length"), headers.get(b"transfer-encoding")
+    # With both a length and a coding, two readers may disagree on where the request ends, so that one of them
+    # parses a second request (request smuggling). Only one of the two, or none, is accepted.
+    if coding is not None and (length is not None or coding.lower() != b"chunked"):
+        return HTTPStatus.BAD_REQUEST
+    if length is not None and int(length) > MAX_BODY_BYTES:
+        return HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+    if not TARGET_PATTERN.fullmatch(request.target):
+        return HTTPStatus.BAD_REQUEST
+    return None if version in SUPPORTED_VERSIONS else HTTPStatus.HTTP_VERSION_NOT_SUPPORTED
--- a/loadbalancer/http/response_parser.py
+++ b/loadbalancer/http/response_parser.py
@@ -75,7 +75,7 @@
             self.complete = self.unusable = True
 
     @property
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Bytes of the response that are held in the process."""
         headers = self.response.headers
         return len(self.response.body) + sum([len(value) for value in headers.values()])
--- a/loadbalancer/http/server_connection.py
+++ b/loadbalancer/http/server_connection.py
@@ -2,19 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Callable
 from http import HTTPStatus
-from typing import Protocol
 
 from loadbalancer.http.close_reason import CloseReason
-from loadbalancer.http.connection_registry import ConnectionPhase, ConnectionRegistry
-from loadbalancer.http.memory_relief import relieve_memory
-from loadbalancer.http.protocol import HttpProtocol
+from loadbalancer.http.downstream_connection import DownstreamConnection
 from loadbalancer.http.request import HttpRequest
-from loadbalancer.http.request_parser import RequestParser
 from loadbalancer.http.response_head import encode_response_head
-from loadbalancer.http.socket_state import close_may_be_unread, has_unread_data, peer_has_closed
+from loadbalancer.http.socket_state import close_may_be_unread
 
 READY_PATH = b"/up"
 UNREAD_INPUT_TIMEOUT_S = 0.5  # for which a request waits while its client goes on sending
@@ -27,86 +21,9 @@
 CLIENT_ERRORS = range(400, 500)  # statuses of responses to requests that are not valid
 
 
-class ConnectionOwner(Protocol):
-    """The interface of a connection's listener."""
-
-    loop: asyncio.AbstractEventLoop
-    registry: ConnectionRegistry
-    receive_buffer: memoryview
-    on_request: Callable[[HttpRequest], None]
-    ready: bool  # whether a readiness request gets the status 200, not 503
-    draining: bool  # whether each response closes its connection
-
-    def connection_opened(self, connection: ServerConnection) -> None:
-        """Register a new connection, or abort it if the limit requires that."""
-
-
-class ServerConnection(HttpProtocol):
+class ServerConnection(DownstreamConnection):
     """The server side of a connection. Pipelined requests get their responses one after the other."""
 
-    def __init__(self, owner: ConnectionOwner, context: object = None) -> None:
-        super().__init__(owner.registry.budget, owner.receive_buffer)
-        self.context = context  # of the listening socket that accepted this connection
-        self.identified = False  # whether a response other than 4xx has been written to the connection
-        self.phase: ConnectionPhase | None = None  # None while a request is open; written by the registry
-        self.phase_since = 0.0  # the event loop's time of the latest change of `phase`, in seconds
-        self._owner = owner
-        self._registry = owner.registry
-        self._parser = RequestParser(owner.loop.time)
-        self._waiting_for_input: HttpRequest | None = None  # not dispatched while its client goes on sending
-        self._closing = False  # the last response has been written, or the client has disconnected
-
-    @property
-    def is_open(self) -> bool:
-        """Whether the connection is in the registry, that is, neither lost nor aborted."""
-        return self in self._registry.connections
-
-    @property
-    def client_disconnected(self) -> bool:
-        """Whether the client has disconnected, even if the event loop has not delivered that yet."""
-        return self._transport.is_closing() or peer_has_closed(self._transport)
-
-    @property
-    def peer(self) -> str:
-        """The client's address as `host:port`; "" if the connection is lost before it is known."""
-        address = self._transport.get_extra_info("peername")
-        return "{}:{}".format(*address) if address else ""
-
-    @property
-    def held_bytes(self) -> int:
-        """Bytes of requests and responses that the connection holds in the process."""
-        return self._parser.held_bytes + self.unsent_bytes
-
-    @property
-    def open_request_count(self) -> int:
-        """Complete requests without a response."""
-        return len(self._parser.requests)
-
-    def close_if_idle(self, reason: CloseReason, *, abort_partial_unidentified: bool = False) -> bool:
-        """Close the connection if no data is lost by it; return whether it is closed.
-
-        It stays open if a request is open or partly received, or if there are unsent or unread bytes. With
-        `abort_partial_unidentified` a partly received request of an unidentified client is discarded.
-        """
-        parser = self._parser
-        partial = parser.partial is not None and (self.identified or not abort_partial_unidentified)
-        # Aborting discards the part of a response that a slow client has not read yet.
-        if parser.requests or partial or self.unsent_bytes or has_unread_data(self._transport):
-            return False
-        self.close(reason)
-        return True
-
-    def close(self, reason: CloseReason) -> None:
-        """Close at once and discard unsent bytes; `reason` is recorded."""
-        self._registry.on_close(self, reason)
-        self.abort()
-
-    def abort(self) -> None:
-        """Close at once and discard unsent bytes."""
-        self._closing = True
-        self._registry.remove(self)
-        self._transport.abort()
-
     def refuse_partial_request(self) -> None:
         """Respond with 503 to a request that is partly received, discard it and end the connection."""
         self._parser.refuse_rest(HTTPStatus.SERVICE_UNAVAILABLE)
@@ -126,13 +43,13 @@
         """Write the response to the oldest request; no effect for another, or on a closing connection."""
         parser, registry = self._parser, self._registry
         requests = parser.requests
-        if self._transport.is_closing() or not requests or requests[0] is not request:
+        if self._transport.is_closing() or requests.first is not request:
             return
         self.identified = self.identified or status not in CLIENT_ERRORS
         close = len(requests) == 1 and (not request.keep_alive or self._owner.draining or registry.over_limit)
         self._transport.write(encode_response_head(status, len(body), retry_after_ms, close=close) + body)
-        requests.popleft()
-        self._count_held_bytes()
+        requests.remove_first()
+        self._count_buffered_bytes()
         if close:
             self._close_after_response()
         elif self.unsent_bytes:
@@ -145,14 +62,9 @@
         else:
             self._end_request_phase()
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Register with the owner, which may abort the connection at once."""
-        super().connection_made(transport)
-        self._owner.connection_opened(self)
-
     def resume_writing(self) -> None:
         """Continue once a response has been sent: with the end of the sending side, or the next request."""
-        self._count_held_bytes()
+        self._count_buffered_bytes()
         # asyncio would report a connection that is aborted within this callback as lost twice.
         if self._closing:
             self._owner.loop.call_soon(self._end_sending)
@@ -172,7 +84,7 @@
             self._transport.write(CONTINUE_RESPONSE)
         if self.phase is not registry.unread:
             self._enter_phase_of_request()
-        self._count_held_bytes()
+        self._count_buffered_bytes()
         self._yield_memory()
         if self._closing or self.phase is registry.unread:
             return
@@ -184,51 +96,20 @@
     def eof_received(self) -> bool:
         """Treat the end of the client's stream as a disconnect."""
         self._closing = True
-        self._parser.cancel_requests()
-        self._count_held_bytes()
+        self._parser.requests.cancel_all()
+        self._count_buffered_bytes()
         # asyncio reports a lost connection only after all bytes are written, which never happens if the
         # client does not read. Its requests are therefore cancelled here, and a time-out ends the connection.
         if self.unsent_bytes:
             self._registry.move_to_phase(self, self._registry.lingering)
         return False
 
-    def connection_lost(self, _exc: Exception | None) -> None:
-        """Release the connection and cancel its requests."""
-        self._registry.remove(self)
-        self._release_held_bytes()
-        self._parser.close()
-        self._closing = True
-        self._parser.cancel_requests()
-
-    def _enter_phase_of_request(self) -> None:
-        """Enter the phase in which a request is open, or partly received."""
-        if self._parser.requests:
-            self._registry.move_to_phase(self, None)
-        elif self._parser.partial is not None:
-            # A client that keeps sending single bytes would hold its connection open without end. One
-            # time-out therefore covers the complete request, and only its first byte restarts it.
-            self._registry.move_to_phase(self, self._registry.awaiting_request)
-
-    def _yield_memory(self) -> None:
-        """Free memory if all connections together hold too many bytes."""
-        if self._budget.allows_partial_requests:
-            return
-        parser, registry = self._parser, self._registry
-        if parser.requests:
-            # The requests before the partly received one still get their responses.
-            parser.refuse_waiting()
-            if parser.partial is not None:
-                parser.refuse_rest(HTTPStatus.SERVICE_UNAVAILABLE)
-            self._count_held_bytes()
-        relieve_memory(registry)
-
     def _dispatch(self) -> None:
         """Dispatch the oldest complete request, unless it is already dispatched."""
-        requests = self._parser.requests
+        request = self._parser.requests.first
         unread = self.phase is self._registry.unread
-        if self._closing or unread or not requests or requests[0].dispatched:
+        if self._closing or unread or request is None or request.dispatched:
             return
-        request = requests[0]
         if not request.refused and close_may_be_unread(self._transport):
             # With a full receive window, a client's close arrives only after the bytes before it are read,
             # and the request would be forwarded although its client has disconnected. The next read
@@ -247,6 +128,12 @@
         else:
             self._owner.on_request(request)
 
+    def _refuse_undispatched(self, request: HttpRequest) -> None:
+        """Refuse a request that has waited too long for the end of its client's input."""
+        if self._parser.requests.first is request and not request.dispatched:
+            request.refuse_unread()
+            self._dispatch()
+
     def _continue_after_unread_response(self) -> None:
         """Dispatch the request that has waited until the client has read the response before it."""
         registry = self._registry
@@ -267,13 +154,6 @@
         awaiting = parser.partial is not None or not self.identified
         registry.move_to_phase(self, registry.awaiting_request if awaiting else registry.idle)
 
-    def _refuse_undispatched(self, request: HttpRequest) -> None:
-        """Refuse a request that has waited too long for the end of its client's input."""
-        requests = self._parser.requests
-        if requests and requests[0] is request and not request.dispatched:
-            request.refuse_unread()
-            self._dispatch()
-
     def _respond_to_fault(self, status: HTTPStatus) -> None:
         """Respond to bytes that do not become a request, and end the connection."""
         self._registry.on_close(self, REASONS_BY_STATUS.get(status, CloseReason.MALFORMED))
@@ -286,7 +166,7 @@
         # that the client still sends are therefore read and discarded until the time-out of the phase.
         self._closing = True
         self._parser.discard_partial()
-        self._count_held_bytes()
+        self._count_buffered_bytes()
         if not self._transport.is_closing():
             self._registry.move_to_phase(self, self._registry.lingering)
             self._end_sending()
--- a/loadbalancer/proxy/config.py
+++ b/loadbalancer/proxy/config.py
@@ -32,8 +32,8 @@
 CONNECTION_BYTES = 5 * 1024  # of the objects of one open connection, without its messages
 # Of the memory that the process and its connections leave, the part that messages may use. The rest is for
 # copies of a message while it is forwarded, for endpoint lists, and for freed memory that is not returned.
-HELD_BYTES_FRACTION = 0.4
-MIN_HELD_BYTES = 1024 * 1024  # with which some requests can be served, however little memory there is
+BUFFER_FRACTION = 0.4
+MIN_BUFFER_BYTES = 1024 * 1024  # with which some requests can be served, however little memory there is
 
 Number = TypeVar("Number", int, float)
 
@@ -66,7 +66,7 @@
         """The maximum number of connections to endpoints that are open or being established."""
         return int(self._usable_descriptors * UPSTREAM_FRACTION)
 
-    def held_bytes_limit(self, resident_bytes: int) -> int:
+    def buffered_bytes_limit(self, resident_bytes: int) -> int:
         """The bytes of messages that all connections may hold together.
 
         Args:
@@ -74,7 +74,7 @@
         """
         connections = self.downstream_limit + self.upstream_limit
         available = self.memory_limit_mb * BYTES_PER_MB - resident_bytes - connections * CONNECTION_BYTES
-        return max(MIN_HELD_BYTES, int(available * HELD_BYTES_FRACTION))
+        return max(MIN_BUFFER_BYTES, int(available * BUFFER_FRACTION))
 
     @property
     def _usable_descriptors(self) -> int:
--- a/loadbalancer/proxy/decision_log.py
+++ b/loadbalancer/proxy/decision_log.py
@@ -40,12 +40,12 @@
         self._statistics.closed_connections[reason.value] += 1
         if self._may_log(f"close {reason.value}"):
             logger.info(
-                "connection closed name=%s reason=%s client=%s open_requests=%d held_bytes=%d",
+                "connection closed name=%s reason=%s client=%s open_requests=%d buffered_bytes=%d",
                 self._name,
                 reason.value,
                 connection.peer,
                 connection.open_request_count,
-                connection.held_bytes,
+                connection.buffered_bytes,
             )
 
     def record_refusal(self, request: HttpRequest, reason: RefusalReason) -> None:
--- a/loadbalancer/proxy/pending_request.py
+++ b/loadbalancer/proxy/pending_request.py
@@ -127,10 +127,6 @@
         """Whether a request of this id is pending, or may have been executed and must not be again."""
         return request_id in self._by_id or request_id in self._executed
 
-    def get(self, request_id: str) -> PendingRequest | None:
-        """The request of this id, None if it is not pending."""
-        return self._by_id.get(request_id)
-
     def add(self, pending: PendingRequest) -> None:
         """Add a request and notify the policy of it."""
         self._by_id[pending.incoming.request_id] = pending
--- a/loadbalancer/proxy/policy_runner.py
+++ b/loadbalancer/proxy/policy_runner.py
@@ -122,7 +122,7 @@
 
     def _fail_without_attempts(self, request_id: str) -> None:
         """Fail an open request that has no attempt in flight, since no further event would end it."""
-        pending = self.requests.get(request_id)
+        pending = self.requests.by_id.get(request_id)
         if pending is None or pending.ended or pending.attempts_in_flight:
             return
         self.requests.respond(pending, HTTPStatus.INTERNAL_SERVER_ERROR)
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -35,7 +35,7 @@
         clock: Unix time on that event loop.
         config: the configuration at the start, with the current address of discovery.
         settings: the policy's settings.
-        held_bytes: the bytes of messages that connections hold, and their limit.
+        buffered_bytes: the bytes of messages that connections hold, and their limit.
         statistics: the counters since the last statistics line in the log.
         pool: the connections to the endpoints.
         watch_client: watches the endpoint list.
@@ -50,12 +50,12 @@
         self.config = config
         self.settings = config.settings
         self.statistics = Statistics()
-        self.held_bytes = ByteBudget(config.held_bytes_limit(read_process_memory().resident))
+        self.buffered_bytes = ByteBudget(config.buffered_bytes_limit(read_process_memory().resident))
         self.pool = ConnectionPool(
             config.upstream_limit,
             config.endpoint_idle_timeout_ms / 1000.0,
             config.connect_timeout_ms / 1000.0,
-            self.held_bytes,
+            self.buffered_bytes,
         )
         self.watch_client = WatchClient(
             config.discovery,
@@ -69,7 +69,7 @@
             policy, self.clock, self.pool, self.statistics, self.watch_client.start
         )
         self.requests = self.policy_runner.requests
-        self._intake = RequestIntake(config, self.clock, self.requests, self.statistics, self.held_bytes)
+        self._intake = RequestIntake(config, self.clock, self.requests, self.statistics, self.buffered_bytes)
         self.listener = self._intake.listener
         self.membership = Membership(self.pool, self.listener, self.statistics, self.policy_runner.notify)
         self._statistics_log = StatisticsLog(config.name, self.statistics, self._gauges)
@@ -145,8 +145,8 @@
             cursor=self.policy.cursor,
             downstream_connections=len(self.listener.connections),
             upstream_connections=self.pool.size,
-            held_bytes=self.held_bytes.held,
-            peak_held_bytes=self.held_bytes.take_peak(),
+            buffered_bytes=self.buffered_bytes.buffered,
+            peak_buffered_bytes=self.buffered_bytes.take_peak(),
         )
 
 
--- a/loadbalancer/proxy/request_forwarding.py
+++ b/loadbalancer/proxy/request_forwarding.py
@@ -95,7 +95,7 @@
 
     def send(self, action: Send) -> None:
         """Start an attempt. Each `Send` gets an attempt number and one outcome, even if nothing is sent."""
-        pending = self.requests.get(action.request_id)
+        pending = self.requests.by_id.get(action.request_id)
         if pending is None:
             self._report_not_pending(action)
             return
--- a/loadbalancer/proxy/statistics.py
+++ b/loadbalancer/proxy/statistics.py
@@ -102,16 +102,16 @@
         cursor: the position of the policy's cursor; 0 admits the most.
         downstream_connections: open connections from clients.
         upstream_connections: connections to endpoints that are open or being established.
-        held_bytes: bytes of requests and responses that connections hold in the process.
-        peak_held_bytes: the most of them since the last statistics line.
+        buffered_bytes: bytes of requests and responses that connections hold in the process.
+        peak_buffered_bytes: the most of them since the last statistics line.
     """
 
     open_requests: int
     cursor: int
     downstream_connections: int
     upstream_connections: int
-    held_bytes: int = 0
-    peak_held_bytes: int = 0
+    buffered_bytes: int = 0
+    peak_buffered_bytes: int = 0
 
     def fields(self) -> dict[str, int]:
         """Each gauge by its name in the log."""
@@ -120,8 +120,8 @@
             "cursor": self.cursor,
             "downstream_connections": self.downstream_connections,
             "upstream_connections": self.upstream_connections,
-            "held_bytes": self.held_bytes,
-            "peak_held_bytes": self.peak_held_bytes,
+            "buffered_bytes": self.buffered_bytes,
+            "peak_buffered_bytes": self.peak_buffered_bytes,
         }
 
 
--- a/tests/http/test_endless_messages.py
+++ b/tests/http/test_endless_messages.py
@@ -66,8 +66,8 @@
     tracemalloc.start()
     try:
         received = bytes_until_fault(parser, prefix.replace(b"START", start_line), piece)
-        held_bytes, _ = tracemalloc.get_traced_memory()
+        buffered_bytes, _ = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
     assert received <= MAX_UNPARSED_BYTES + len(piece)
-    assert held_bytes <= MAX_BODY_BYTES + MAX_HELD_BYTES
+    assert buffered_bytes <= MAX_BODY_BYTES + MAX_HELD_BYTES
--- a/tests/http/test_memory_relief.py
+++ b/tests/http/test_memory_relief.py
@@ -54,9 +54,9 @@
 
 async def send_part(service: Service, client: HttpClient, data: bytes) -> None:
     """Send bytes, and wait until the listener holds them or has refused a request."""
-    held = service.budget.held
+    held = service.budget.buffered
     client.writer.write(data)
-    await until(lambda: service.budget.held != held)
+    await until(lambda: service.budget.buffered != held)
 
 
 async def connect(service: Service, stack: contextlib.AsyncExitStack) -> HttpClient:
@@ -75,7 +75,7 @@
         service.release()
         assert (await second.read_response()).status == 200
     await until(lambda: not service.listener.connections)
-    assert service.budget.held == 0
+    assert service.budget.buffered == 0
 
 
 async def test_request_that_the_exceeding_read_completes_is_not_refused(service):
@@ -97,7 +97,7 @@
         pipelined = b"".join(request("post", f"q{number}", BODY[:20_000]) for number in range(3))
         client.writer.write(pipelined + request("post", "q3", BODY)[:-1])
         await until(lambda: service.held)
-        await until(lambda: service.budget.peak > LIMIT_BYTES / 2 > service.budget.held)
+        await until(lambda: service.budget.peak > LIMIT_BYTES / 2 > service.budget.buffered)
         service.release()
         statuses = [(await client.read_response()).status for _ in range(4)]
         assert statuses == [200, 503, 503, 503]
@@ -118,4 +118,4 @@
         service.release()
         await asyncio.sleep(0)
     await until(lambda: not service.listener.connections)
-    assert service.budget.held == 0
+    assert service.budget.buffered == 0
--- a/tests/http/test_server_connection.py
+++ b/tests/http/test_server_connection.py
@@ -9,7 +9,7 @@
 import pytest
 
 from loadbalancer.http.request import HttpRequest
-from loadbalancer.http.request_parser import MAX_PIPELINED_REQUESTS
+from loadbalancer.http.request_queue import MAX_PIPELINED_REQUESTS
 from loadbalancer.http.socket_state import has_unread_data
 from tests.support.loopback import HttpClient, StalledBackend, always, until
 from tests.support.messages import request, response_bytes
--- a/tests/proxy/test_start.py
+++ b/tests/proxy/test_start.py
@@ -22,7 +22,8 @@
         *("addresses", "client_connection", "connection_registry", "eviction", "listener"),
         *("listening_sockets", "message_sizes", "protocol", "request", "request_parser"),
         *("request_timeouts", "response_head", "response_parser", "server_connection"),
-        *("byte_budget", "close_reason", "memory_relief", "socket_state"),
+        *("byte_budget", "close_reason", "downstream_connection", "memory_relief", "request_queue"),
+        "socket_state",
     },
     "loadbalancer.policy": {
         *("admission", "attempts", "completion_rate", "cursor_table", "discovery_backoff"),
--- a/tests/proxy/test_statistics.py
+++ b/tests/proxy/test_statistics.py
@@ -27,7 +27,9 @@
 async def test_log_line_has_counters_and_gauges_and_resets_the_counters(caplog):
     statistics = Statistics()
     statistics.missed_deadlines = 1
-    gauges = Gauges(open_requests=7, cursor=2, downstream_connections=8, upstream_connections=9, held_bytes=5)
+    gauges = Gauges(
+        open_requests=7, cursor=2, downstream_connections=8, upstream_connections=9, buffered_bytes=5
+    )
     log = StatisticsLog("n0", statistics, lambda: gauges)
     with caplog.at_level("INFO", logger=statistics_module.logger.name):
         log.start()
@@ -37,6 +39,6 @@
     assert {"missed_deadlines=1", "open_requests=7", "requests_received=0"} <= set(line.split())
     assert line.endswith(
         " open_requests=7 cursor=2 downstream_connections=8 upstream_connections=9"
-        " held_bytes=5 peak_held_bytes=0"
+        " buffered_bytes=5 peak_buffered_bytes=0"
     )
     assert statistics.missed_deadlines == 0
--- a/tests/test_external_names.py
+++ b/tests/test_external_names.py
@@ -153,7 +153,7 @@
 EXPECTED = """\
 proxy, log = discovery address set name=%s address=%s:%d|configuration changes wait for the next start name=%s
 |endpoints changed revision=%d added=%d removed=%d example=%s
-|connection closed name=%s reason=%s client=%s open_requests=%d held_bytes=%d
+|connection closed name=%s reason=%s client=%s open_requests=%d buffered_bytes=%d
 |request refused name=%s id=%s reason=%s|statistics name=%s %s|policy fault event=%s
 |proxy serving name=%s address=%s:%d|proxy stopping name=%s
 |bad configuration, keeping the one in force cause=%s|event loop error cause=%s exc_info
@@ -165,7 +165,7 @@
 |fewer descriptors than connections connections available
 proxy, counters and gauges = requests_received|requests_over_limit|client_disconnects
 |unread_client_disconnects|missed_deadlines|policy_faults|event_loop_errors|event_loop_lag_ms|open_requests
-|cursor|downstream_connections|upstream_connections|held_bytes|peak_held_bytes
+|cursor|downstream_connections|upstream_connections|buffered_bytes|peak_buffered_bytes
 memory gauges, reasons to close and to refuse = memory_mb|peak_memory_mb|evicted|over_limit|no_request
 |request_timeout|idle_timeout|unread_response|malformed|memory|shutdown|open_requests|memory|connections
 attempts_ and endpoint_lists_ = ok|error|rejected|timeout|connect_failed|reset|cancelled|not_sent|delta
