--- a/benchmarks/soak/__main__.py
+++ b/benchmarks/soak/__main__.py
@@ -33,7 +33,7 @@
     line = (
         f"seed {plan.seed}: {len(result.violations)} broken; {statuses}; executions={result.executions};"
         f" memory {result.peak_memory_mb} of {plan.memory_mb} MB; lag {result.lag_s} s;"
-        f" {plan.signals}; sockets {plan.sockets}; {hostile}"
+        f" {plan.signals}, killed at the end {result.killed_at_end}; sockets {plan.sockets}; {hostile}"
     )
     return "\n".join([line, *[f"  {violation}" for violation in result.violations[:SHOWN_VIOLATIONS]]])
 
