Make the new modules cheaper to import

Change: the memory is read without regular expressions, and the records are plain classes with slots, as in the policy. No behaviour changes.

--- a/loadbalancer/proxy/membership.py
+++ b/loadbalancer/proxy/membership.py
@@ -4,7 +4,6 @@
 
 import logging
 from collections.abc import Callable, Set
-from typing import NamedTuple
 
 from loadbalancer.discovery.endpoint_list import EndpointList
 from loadbalancer.events import Endpoint, EndpointState, Event, MembershipUpdate, UpdateKind
@@ -16,11 +15,19 @@
 logger = logging.getLogger(__name__)
 
 
-class AddressedProcess(NamedTuple):
-    """A process at an address."""
+class AddressedProcess:
+    """A process at an address.
 
-    name: str
-    started_ms: float  # Unix time; 0 for long ago
+    Attributes:
+        name: the endpoint's name.
+        started_ms: the start of the process in Unix time; 0 for long ago.
+    """
+
+    __slots__ = ("name", "started_ms")
+
+    def __init__(self, name: str, started_ms: float | None) -> None:
+        self.name = name
+        self.started_ms = started_ms or 0.0
 
 
 class Membership:
@@ -79,7 +86,7 @@
         addresses = self._unlisted_addresses(endpoint_list) if kind is UpdateKind.DELTA else {}
         for endpoint in endpoint_list.endpoints:
             if endpoint.state is not EndpointState.REMOVED:
-                process = AddressedProcess(endpoint.name, endpoint.started_ms or 0.0)
+                process = AddressedProcess(endpoint.name, endpoint.started_ms)
                 addresses.setdefault(endpoint_list.addresses[endpoint.name], []).append(process)
         superseded = set()
         for processes in addresses.values():
@@ -93,7 +100,7 @@
         for name in self._ready_endpoints - endpoint_list.addresses.keys():
             endpoint = self._pool.get(name)
             if endpoint is not None:
-                process = AddressedProcess(name, endpoint.started_ms or 0.0)
+                process = AddressedProcess(name, endpoint.started_ms)
                 addresses.setdefault(endpoint.address, []).append(process)
         return addresses
 
--- a/loadbalancer/proxy/pending_request.py
+++ b/loadbalancer/proxy/pending_request.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from http import HTTPStatus
-from typing import NamedTuple
 
 from loadbalancer.events import AttemptResult, ClientDisconnected, Event, IncomingRequest
 from loadbalancer.http.addresses import Address
@@ -17,11 +16,19 @@
 BACKSTOP_DELAY_S = 0.005  # after a request's deadline, until the proxy sends the final response itself
 
 
-class PossibleExecution(NamedTuple):
-    """An attempt that an endpoint may have executed."""
+class PossibleExecution:
+    """An attempt that an endpoint may have executed.
 
-    address: Address
-    sent_at_s: float  # on the event loop's clock
+    Attributes:
+        address: the endpoint's address.
+        sent_at_s: the time of the attempt, on the event loop's clock.
+    """
+
+    __slots__ = ("address", "sent_at_s")
+
+    def __init__(self, address: Address, sent_at_s: float) -> None:
+        self.address = address
+        self.sent_at_s = sent_at_s
 
 
 class PendingRequest:
--- a/loadbalancer/proxy/process_memory.py
+++ b/loadbalancer/proxy/process_memory.py
@@ -2,17 +2,14 @@
 
 from __future__ import annotations
 
-import re
-from typing import NamedTuple
-
 STATUS_FILE = "/proc/self/status"
-RESIDENT_KB = re.compile(rb"VmRSS:\s+([0-9]+) kB")
-PEAK_RESIDENT_KB = re.compile(rb"VmHWM:\s+([0-9]+) kB")
+RESIDENT_FIELD = b"VmRSS:"
+PEAK_RESIDENT_FIELD = b"VmHWM:"
 BYTES_PER_KB = 1024
 BYTES_PER_MB = 1024 * 1024
 
 
-class ProcessMemory(NamedTuple):
+class ProcessMemory:
     """Resident memory in bytes, files that are mapped included; 0 where the kernel does not report it.
 
     Attributes:
@@ -20,8 +17,11 @@
         peak: the most since the start of the process.
     """
 
-    resident: int
-    peak: int
+    __slots__ = ("peak", "resident")
+
+    def __init__(self, resident: int, peak: int) -> None:
+        self.resident = resident
+        self.peak = peak
 
     def fields(self) -> dict[str, int]:
         """Each value by its name in the log, in whole MiB."""
@@ -39,9 +39,10 @@
             status = file.read()
     except OSError:
         return ProcessMemory(0, 0)
-    return ProcessMemory(_bytes(RESIDENT_KB, status), _bytes(PEAK_RESIDENT_KB, status))
+    return ProcessMemory(_bytes(RESIDENT_FIELD, status), _bytes(PEAK_RESIDENT_FIELD, status))
 
 
-def _bytes(pattern: re.Pattern[bytes], status: bytes) -> int:
-    match = pattern.search(status)
-    return int(match[1]) * BYTES_PER_KB if match else 0
+def _bytes(field: bytes, status: bytes) -> int:
+    """The value of a field, which the kernel writes in kB; 0 without the field."""
+    words = status.partition(field)[2].split(None, 1)
+    return int(words[0]) * BYTES_PER_KB if words else 0
