Release the bytes of a connection when it is aborted, not one iteration later

What callers saw: none reported it; found by looking for the same mistake at the endpoints' side. A process passed its memory limit while endpoints left several hundred responses incomplete.

Cause: a connection over the budget is aborted, but asyncio reports its end in the next iteration of the event loop, and the parser kept the partial response until then. Several hundred connections are read in one iteration.

Change: an aborted connection releases its partial response or request at once; a complete response is taken out before its connection is aborted.

--- a/loadbalancer/http/client_connection.py
+++ b/loadbalancer/http/client_connection.py
@@ -99,6 +99,10 @@
         # same time. The sending side is therefore shut down at once.
         shut_down_sending(self._transport)
         self._transport.abort()
+        # asyncio reports the end one iteration later. Until then, hundreds of connections that are aborted in
+        # one iteration would keep the responses that they have partly received.
+        self._parser.discard_response()
+        self._count_buffered_bytes()
 
     def resume_writing(self) -> None:
         """Record that the complete request has been written to the socket."""
@@ -140,11 +144,12 @@
 
     def _deliver_response(self, exchange: Exchange) -> None:
         self._exchange = None
+        response = self._parser.take_response()
         # If the server responds early, the unsent rest of the request would precede the next request.
         if self._parser.unusable or not self._request_written:
             self.abort()
-        exchange.on_response(self._parser.take_response())
         self._count_buffered_bytes()
+        exchange.on_response(response)
 
     def _fail_exchange(self) -> None:
         exchange = self._exchange
--- a/loadbalancer/http/downstream_connection.py
+++ b/loadbalancer/http/downstream_connection.py
@@ -96,6 +96,8 @@
         self._closing = True
         self._registry.remove(self)
         self._transport.abort()
+        self._parser.discard_partial()
+        self._count_buffered_bytes()
 
     @abstractmethod
     def expire(self) -> None:
--- a/loadbalancer/http/response_parser.py
+++ b/loadbalancer/http/response_parser.py
@@ -85,6 +85,10 @@
         response, self.response = self.response, HttpResponse()
         return response
 
+    def discard_response(self) -> None:
+        """Release what has been received of the response."""
+        self.response = HttpResponse()
+
     def close(self) -> None:
         """Release the parser when the connection is lost."""
         # This parser and that of httptools refer to each other, and the garbage collector rarely examines
--- a/tests/proxy/test_memory_limit.py
+++ b/tests/proxy/test_memory_limit.py
@@ -35,6 +35,9 @@
 UNREAD_REQUESTS = 1000
 UNREAD_PAUSE_S = 0.002
 LARGE_BODY = b"b" * 65536
+LARGE_RESPONSE = response_bytes(body=LARGE_BODY)
+HALF_RESPONSE = LARGE_RESPONSE[:-1]
+ENDPOINTS = 200  # enough for attempts in flight on all connections to endpoints
 
 
 def short_fields(count: int) -> bytes:
@@ -137,14 +140,18 @@
 
 
 @contextlib.asynccontextmanager
-async def smallest_proxy(folder: Path) -> AsyncIterator[tuple[int, Address]]:
+async def smallest_proxy(
+    folder: Path, response: bytes = LARGE_RESPONSE, endpoints: int = 1
+) -> AsyncIterator[tuple[int, Address]]:
     """A proxy process with the least memory and the most descriptors; its process id and address."""
     address = free_address()
-    backend = LoopbackServer(always(response_bytes(body=LARGE_BODY)))
+    backend = LoopbackServer(always(response))
     async with backend, ScriptedDiscovery() as discovery:
+        known = {f"s{number}": (backend.endpoint, "Ready") for number in range(endpoints)}
         document = config_document(
             discovery.endpoint,
-            known=targets(s0=(backend.endpoint, "Ready")),
+            known=targets(**known),
+            bounds={"maxOpen": 2000},
             limits={"cores": 1.0, "memory_mb": LEAST_MEMORY_MB, "sockets": MOST_DESCRIPTORS},
         )
         with running_program(write_config(folder, document, address), MOST_DESCRIPTORS) as program:
@@ -161,3 +168,12 @@
         await asyncio.gather(*[script(address, number, data) for number in range(clients)])
         assert (await send_until_response(address, request(name="usual"))).status == 200
         assert peak_memory_mb(pid) < LEAST_MEMORY_MB
+
+
+async def test_process_stays_within_the_least_memory_while_responses_are_incomplete(tmp_path):
+    """Guards against the sum of responses that endpoints leave incomplete."""
+    async with smallest_proxy(tmp_path, HALF_RESPONSE, ENDPOINTS) as (pid, address):
+        requests = [request(name=f"q{number}", Req_Deadline_Ms="2000") for number in range(CLIENTS)]
+        responses = await asyncio.gather(*[send_until_response(address, data) for data in requests])
+        assert {response.status for response in responses} <= {502, 503, 504}
+        assert peak_memory_mb(pid) < LEAST_MEMORY_MB
