Count a connection's bytes only where they can change, and skip a system call

Change: a complete response and a written request are not counted, the limits of the budget are computed once, the queue of requests is a deque, and after a short read that ends with the request nothing is asked of the socket again: nothing can be unread behind it.

--- a/loadbalancer/http/byte_budget.py
+++ b/loadbalancer/http/byte_budget.py
@@ -19,17 +19,20 @@
         peak: the most bytes that have been held since the last `take_peak`.
     """
 
-    __slots__ = ("buffered", "limit", "peak")
+    __slots__ = ("_partial_limit", "_request_limit", "buffered", "limit", "peak")
 
     def __init__(self, limit: float = math.inf) -> None:
         self.limit = limit
+        self._partial_limit = limit * PARTIAL_FRACTION
+        self._request_limit = limit * REQUEST_FRACTION
         self.buffered = 0
         self.peak = 0
 
     def change(self, difference: int) -> None:
         """Add bytes that a connection holds in addition, or subtract released ones."""
         self.buffered += difference
-        self.peak = max(self.peak, self.buffered)
+        if self.buffered > self.peak:
+            self.peak = self.buffered
 
     def take_peak(self) -> int:
         """Return the most bytes held since the last call, and start the measurement again."""
@@ -39,12 +42,12 @@
     @property
     def allows_partial_requests(self) -> bool:
         """Whether partly received requests and unread responses may stay."""
-        return self.buffered <= self.limit * PARTIAL_FRACTION
+        return self.buffered <= self._partial_limit
 
     @property
     def allows_requests(self) -> bool:
         """Whether one more complete request may be open."""
-        return self.buffered <= self.limit * REQUEST_FRACTION
+        return self.buffered <= self._request_limit
 
     @property
     def allows_responses(self) -> bool:
--- a/loadbalancer/http/client_connection.py
+++ b/loadbalancer/http/client_connection.py
@@ -88,7 +88,8 @@
         self._request_written = (
             not self._transport.is_closing() and not self._transport.get_write_buffer_size()
         )
-        self._count_buffered_bytes()
+        if not self._request_written:
+            self._count_buffered_bytes()
 
     def abort(self) -> None:
         """Close at once and discard unsent bytes; the exchange, if any, gets no further callback."""
@@ -102,7 +103,8 @@
         # asyncio reports the end one iteration later. Until then, hundreds of connections that are aborted in
         # one iteration would keep the responses that they have partly received.
         self._parser.discard_response()
-        self._count_buffered_bytes()
+        if self._counted_bytes:
+            self._count_buffered_bytes()
 
     def resume_writing(self) -> None:
         """Record that the complete request has been written to the socket."""
@@ -118,10 +120,11 @@
             self.abort()
             return
         parser.feed(data)
-        self._count_buffered_bytes()
-        if parser.complete:
+        if parser.complete:  # nothing of it stays, so that it need not be counted
             self._deliver_response(exchange)
-        elif parser.unusable or not self._budget.allows_responses:
+            return
+        self._count_buffered_bytes()
+        if parser.unusable or not self._budget.allows_responses:
             self._fail_exchange()
 
     def eof_received(self) -> bool:
@@ -148,7 +151,8 @@
         # If the server responds early, the unsent rest of the request would precede the next request.
         if self._parser.unusable or not self._request_written:
             self.abort()
-        self._count_buffered_bytes()
+        if self._counted_bytes:
+            self._count_buffered_bytes()
         exchange.on_response(response)
 
     def _fail_exchange(self) -> None:
--- a/loadbalancer/http/downstream_connection.py
+++ b/loadbalancer/http/downstream_connection.py
@@ -65,7 +65,7 @@
     @property
     def buffered_bytes(self) -> int:
         """Bytes of requests and responses that the connection holds in the process."""
-        return self._parser.buffered_bytes + self.unsent_bytes
+        return self._parser.buffered_bytes + self._transport.get_write_buffer_size()
 
     @property
     def open_request_count(self) -> int:
--- a/loadbalancer/http/request_parser.py
+++ b/loadbalancer/http/request_parser.py
@@ -64,8 +64,10 @@
     @property
     def buffered_bytes(self) -> int:
         """Bytes of the requests that are held in the process, the partly received one included."""
-        partial = 0 if self.partial is None else self.partial.buffered_bytes
-        return partial + self.requests.buffered_bytes
+        total = 0 if self.partial is None else self.partial.buffered_bytes
+        for request in self.requests:
+            total += request.buffered_bytes
+        return total
 
     def feed(self, data: bytes | memoryview) -> None:
         """Parse the next bytes; must not be called after a fault or `close`. Raises nothing."""
--- a/loadbalancer/http/server_connection.py
+++ b/loadbalancer/http/server_connection.py
@@ -6,6 +6,7 @@
 
 from loadbalancer.http.close_reason import CloseReason
 from loadbalancer.http.downstream_connection import DownstreamConnection
+from loadbalancer.http.protocol import RECEIVE_BYTES
 from loadbalancer.http.request import HttpRequest
 from loadbalancer.http.response_head import encode_response_head
 from loadbalancer.http.socket_state import close_may_be_unread
@@ -43,12 +44,12 @@
         """Write the response to the oldest request; no effect for another, or on a closing connection."""
         parser, registry = self._parser, self._registry
         requests = parser.requests
-        if self._transport.is_closing() or requests.first is not request:
+        if self._transport.is_closing() or not requests or requests[0] is not request:
             return
         self.identified = self.identified or status not in CLIENT_ERRORS
         close = len(requests) == 1 and (not request.keep_alive or self._owner.draining or registry.over_limit)
         self._transport.write(encode_response_head(status, len(body), retry_after_ms, close=close) + body)
-        requests.remove_first()
+        requests.popleft()
         self._count_buffered_bytes()
         if close:
             self._close_after_response()
@@ -89,7 +90,9 @@
         if self._closing or self.phase is registry.unread:
             return
         if parser.requests:
-            self._dispatch()
+            # After a short read that ends with the request, nothing is unread: that saves a system call.
+            ends_with_request = parser.partial is None and parser.fault is None and len(parser.requests) == 1
+            self._dispatch(all_read=ends_with_request and len(data) < RECEIVE_BYTES)
         elif parser.fault is not None:
             self._respond_to_fault(parser.fault)
 
@@ -104,13 +107,17 @@
             self._registry.move_to_phase(self, self._registry.lingering)
         return False
 
-    def _dispatch(self) -> None:
-        """Dispatch the oldest complete request, unless it is already dispatched."""
-        request = self._parser.requests.first
+    def _dispatch(self, *, all_read: bool = False) -> None:
+        """Dispatch the oldest complete request, unless it is already dispatched.
+
+        With `all_read`, the caller knows that nothing is unread behind it.
+        """
+        requests = self._parser.requests
         unread = self.phase is self._registry.unread
-        if self._closing or unread or request is None or request.dispatched:
+        if self._closing or unread or not requests or requests[0].dispatched:
             return
-        if not request.refused and close_may_be_unread(self._transport):
+        request = requests[0]
+        if not all_read and not request.refused and close_may_be_unread(self._transport):
             # With a full receive window, a client's close arrives only after the bytes before it are read,
             # and the request would be forwarded although its client has disconnected. The next read
             # therefore dispatches the request, or the close cancels it. Trade-off: a client that never stops
@@ -130,7 +137,8 @@
 
     def _refuse_undispatched(self, request: HttpRequest) -> None:
         """Refuse a request that has waited too long for the end of its client's input."""
-        if self._parser.requests.first is request and not request.dispatched:
+        requests = self._parser.requests
+        if requests and requests[0] is request and not request.dispatched:
             request.refuse_unread()
             self._dispatch()
 
