--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -10,7 +10,7 @@
 - `hollow`: the cost of many watches for a list server and for hollow nodes.
 - `fleet_model`: the load of backends in slow start, in a simulated service.
 - `model`: simulations of large services and of chains of tiers.
-- `soak`: seeded runs of a real proxy with hostile clients and signals, checked against the rules from outside.
+- `soak`: seeded runs of a real proxy with hostile clients and signals, checked by the rules from outside.
 - `capacity`: the load of each role at the target size, from the result files.
 - `list_server`: no benchmark; a fake discovery server whose list changes on command.
 
--- a/benchmarks/soak/clients.py
+++ b/benchmarks/soak/clients.py
@@ -136,38 +136,12 @@
         try:
             with contextlib.suppress(OSError):
                 started_s = self._loop.time()
-                await self._send_hostile(kind, reader, writer)
+                await _send_hostile(kind, reader, writer)
                 if kind != "connect only":
                     await self._await_error(kind, reader, started_s)
         finally:
             writer.transport.abort()
 
-    async def _send_hostile(
-        self, kind: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        head = b"POST /post/1 HTTP/1.1\r\nReq-Id: hostile\r\n"
-        match kind:
-            case "half body":
-                writer.write(head + b"Content-Length: 65536\r\n\r\n" + LONG_BODY)
-            case "short fields":
-                writer.write(head + SHORT_FIELDS)
-            case "slow writer":
-                writer.write(head + b"Content-Length: 65536\r\n\r\n")
-                while not reader.at_eof() and not writer.is_closing():
-                    writer.write(LONG_BODY[:1500])
-                    await asyncio.sleep(0.1)
-            case "flood":
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(1.0):
-                        while not writer.is_closing():
-                            writer.write(b"GET /none/1 HTTP/1.1\r\nReq-Id: f\r\n\r\n" * 20)
-                            await writer.drain()
-                            await asyncio.sleep(0)  # `drain` alone lets no other task run
-            case "noise":
-                writer.write(b"\x00 no request\r\n\r\n")
-            case "connect only":
-                await asyncio.sleep(1.0)
-
     async def _await_error(self, kind: str, reader: asyncio.StreamReader, started_s: float) -> None:
         """Read until the proxy responds with an error or closes the connection."""
         try:
@@ -186,3 +160,28 @@
             for number in range(200):
                 client.send(b"GET /none/%d HTTP/1.1\r\nReq-Id: u\r\n\r\n" % number)
                 await asyncio.sleep(0.005)
+
+
+async def _send_hostile(kind: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    head = b"POST /post/1 HTTP/1.1\r\nReq-Id: hostile\r\n"
+    match kind:
+        case "half body":
+            writer.write(head + b"Content-Length: 65536\r\n\r\n" + LONG_BODY)
+        case "short fields":
+            writer.write(head + SHORT_FIELDS)
+        case "slow writer":
+            writer.write(head + b"Content-Length: 65536\r\n\r\n")
+            while not reader.at_eof() and not writer.is_closing():
+                writer.write(LONG_BODY[:1500])
+                await asyncio.sleep(0.1)
+        case "flood":
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(1.0):
+                    while not writer.is_closing():
+                        writer.write(b"GET /none/1 HTTP/1.1\r\nReq-Id: f\r\n\r\n" * 20)
+                        await writer.drain()
+                        await asyncio.sleep(0)  # `drain` alone lets no other task run
+        case "noise":
+            writer.write(b"\x00 no request\r\n\r\n")
+        case "connect only":
+            await asyncio.sleep(1.0)
--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from benchmarks.support.proxy_process import PLATFORM_SETTINGS
+
 LONGEST_DEADLINE_MS = 2000.0
 KILL_MARGIN_S = 0.7  # SIGKILL comes this long after the longest deadline, counted from SIGTERM
 HOSTILE_KINDS = ("half body", "short fields", "slow writer", "unread", "flood", "noise", "connect only")
@@ -18,16 +20,7 @@
 CLIENT_FRACTION = 0.5  # of the sockets, at most, that hostile clients use at once
 
 # Classes of every idempotency, with deadlines that let a run be short.
-SETTINGS: dict[str, Any] = {
-    "bounds": {
-        "cancel": True,
-        "maxAttempts": 3,
-        "maxOpen": 20000,
-        "retryAfter": True,
-        "maxRetryAfterMs": 2000.0,
-        "connIdleMs": 15000.0,
-        "connectTimeoutMs": 250.0,
-    },
+SETTINGS: dict[str, Any] = PLATFORM_SETTINGS | {
     "categories": [
         {"name": "read", "aimMs": 1500.0, "giveUpMs": LONGEST_DEADLINE_MS, "credit": 3.0, "effect": "free"},
         {"name": "post", "aimMs": 1500.0, "giveUpMs": LONGEST_DEADLINE_MS, "effect": "single_shot"},
@@ -40,8 +33,6 @@
         },
     ],
     "invariants": {"askWithinMs": 10000.0, "coldFrom": 0.2, "coldMs": 3000.0, "overloadFactor": 2.5},
-    "registryMode": "push",
-    "locality": "a",
 }
 
 
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -66,11 +66,17 @@
         self._killed_at_end = 0
 
     async def play(self) -> SoakResult:
+        """Play the run and return its outcome."""
         for endpoint in self._endpoints:
             await endpoint.listen()
         self._lists = ListServer(Membership([_entry(endpoint) for endpoint in self._endpoints]))
         discovery = await self._lists.listen()
-        self._node = SoakNode(self._folder, self._address, self._document(discovery), self._plan.sockets)
+        self._node = SoakNode(
+            self._folder,
+            self._address,
+            _document(self._plan, self._address, discovery, self._endpoints),
+            self._plan.sockets,
+        )
         try:
             await self._start_node()
             self._start_clients()
@@ -195,18 +201,6 @@
         for endpoint in self._endpoints:
             await endpoint.close()
 
-    def _document(self, discovery: str) -> dict[str, Any]:
-        plan = self._plan
-        return {
-            "name": "n0",
-            "listen": "{}:{}".format(*self._address),
-            "discovery": discovery,
-            "seed": f"{plan.seed:016x}",
-            "limits": {"cores": 1.0, "memory_mb": plan.memory_mb, "sockets": plan.sockets},
-            "known": Membership([_entry(endpoint) for endpoint in self._endpoints]).complete_list(),
-            "settings": proxy_settings(plan),
-        }
-
     def _result(self) -> SoakResult:
         ledger, plan = self._ledger, self._plan
         if self._node.peak_memory_mb >= plan.memory_mb:
@@ -234,3 +228,18 @@
         "capacity_hint": 1.0,
         "boot_ms": endpoint.started_ms,
     }
+
+
+def _document(
+    plan: SoakPlan, address: Address, discovery: str, endpoints: list[SoakEndpoint]
+) -> dict[str, Any]:
+    """The proxy's configuration."""
+    return {
+        "name": "n0",
+        "listen": "{}:{}".format(*address),
+        "discovery": discovery,
+        "seed": f"{plan.seed:016x}",
+        "limits": {"cores": 1.0, "memory_mb": plan.memory_mb, "sockets": plan.sockets},
+        "known": Membership([_entry(endpoint) for endpoint in endpoints]).complete_list(),
+        "settings": proxy_settings(plan),
+    }
--- a/loadbalancer/http/server_connection.py
+++ b/loadbalancer/http/server_connection.py
@@ -42,8 +42,7 @@
 
     def respond(self, request: HttpRequest, status: int, body: bytes, retry_after_ms: float) -> None:
         """Write the response to the oldest request; no effect for another, or on a closing connection."""
-        parser, registry = self._parser, self._registry
-        requests = parser.requests
+        requests, registry = self._parser.requests, self._registry
         if self._transport.is_closing() or not requests or requests[0] is not request:
             return
         self.identified = self.identified or status not in CLIENT_ERRORS
@@ -54,8 +53,7 @@
         if close:
             self._close_after_response()
         elif self.unsent_bytes:
-            # A client that sends requests and reads no response would exhaust the memory. Its next request
-            # therefore waits until it has read this response.
+            # A client that reads no response would exhaust the memory. Its next request therefore waits.
             registry.move_to_phase(self, registry.unread)
             self._yield_memory()
         elif requests:
@@ -108,10 +106,7 @@
         return False
 
     def _dispatch(self, *, all_read: bool = False) -> None:
-        """Dispatch the oldest complete request, unless it is already dispatched.
-
-        With `all_read`, the caller knows that nothing is unread behind it.
-        """
+        """Dispatch the oldest request, unless it is dispatched; `all_read`: nothing is unread behind it."""
         requests = self._parser.requests
         unread = self.phase is self._registry.unread
         if self._closing or unread or not requests or requests[0].dispatched:
--- a/tests/proxy/test_descriptor_limits.py
+++ b/tests/proxy/test_descriptor_limits.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import contextlib
-import resource
 import signal
 import socket
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Self
@@ -26,21 +25,14 @@
 from tests.support.program import READINESS_REQUEST, send_until_response
 from tests.support.sockets import start_connect
 
+pytestmark = pytest.mark.usefixtures("descriptors_for_clients")
+
 PARTIAL_REQUEST = b"GET /read/1 HTTP/1.1\r\nReq-Id: half\r\n"
 BURST_SIZE = 500  # clients that connect between two iterations of the proxy's loop: the kernel queues 1024
 BURSTS = 3
 RECONNECTING_CLIENTS = 150  # more than the smallest limit allows
 
 
-@pytest.fixture(autouse=True)
-def descriptors_for_clients() -> Iterator[None]:
-    """Raise the limit of this process, which has the clients; only the proxy has few descriptors."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(hard, 8192)), hard))
-    yield
-    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-
-
 class IdleClients:
     """Clients that connect and send `data` only; an asynchronous context manager that closes them."""
 
--- a/tests/proxy/test_memory_limit.py
+++ b/tests/proxy/test_memory_limit.py
@@ -5,9 +5,8 @@
 import asyncio
 import contextlib
 import re
-import resource
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from itertools import islice, product
 from pathlib import Path
 from string import ascii_lowercase
@@ -26,6 +25,8 @@
 )
 from tests.support.proxy_config import config_document
 
+pytestmark = pytest.mark.usefixtures("descriptors_for_clients")
+
 LEAST_MEMORY_MB = 32  # the least memory and the most descriptors that the platform's pages name
 MOST_DESCRIPTORS = 1024
 CLIENTS = 550  # fewer than the connections that these descriptors allow
@@ -123,15 +124,6 @@
 ]
 
 
-@pytest.fixture(autouse=True)
-def descriptors_for_clients() -> Iterator[None]:
-    """Raise the limit of this process, which has the clients; only the proxy has few descriptors."""
-    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(hard, 8192)), hard))
-    yield
-    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
-
-
 def peak_memory_mb(pid: int) -> float:
     """The most resident memory that a process has had, mapped files included."""
     found = re.search(r"VmHWM:\s+(\d+) kB", Path(f"/proc/{pid}/status").read_text())
--- a/tests/support/proxy_fixtures.py
+++ b/tests/support/proxy_fixtures.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+import resource
+from collections.abc import AsyncIterator, Iterator
 from typing import Any
 
 import pytest
@@ -28,3 +29,12 @@
     """A running proxy, which is closed together with its backend and clients after the test."""
     async with running_proxy(backend, **proxy_options) as proxy:
         yield proxy
+
+
+@pytest.fixture
+def descriptors_for_clients() -> Iterator[None]:
+    """Raise the limit of this process, which has the clients; only the proxy has few descriptors."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, min(hard, 8192)), hard))
+    yield
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
