--- a/review/stand_ins_2/case.py
+++ b/review/stand_ins_2/case.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -247,9 +248,11 @@
         self._process.send_signal(signal.SIGHUP)
 
     def stop(self) -> None:
+        """Kill the process, and remove its folder."""
         if self._process is not None:
             self._process.kill()
             self._process.wait()
+        shutil.rmtree(self._folder, ignore_errors=True)
 
 
 class Clients:
