--- a/review/stand_ins_2/case.py
+++ b/review/stand_ins_2/case.py
@@ -247,6 +247,11 @@
         assert self._process is not None
         self._process.send_signal(signal.SIGHUP)
 
+    def terminate(self) -> None:
+        """Begin a planned restart: SIGTERM."""
+        assert self._process is not None
+        self._process.terminate()
+
     def stop(self) -> None:
         """Kill the process, and remove its folder."""
         if self._process is not None:
