Review: each case writes its own record.txt, and a crash counts as not run

Cause: the scripts wrote record.txt through the shared stand-ins, at their end only. Nothing in a case's folder named it, a script that was stopped left none or an old one, and an uncaught error of a script ended with 1, as a broken rule does.

--- a/review/stand_ins_2/case.py
+++ b/review/stand_ins_2/case.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -29,23 +30,23 @@
 
 
 class Record:
-    """What is sent, answered and run, with the time since the start; written to `record.txt`."""
+    """What is sent, answered and run, with the time since the start; each line is written at once."""
 
-    def __init__(self, folder: Path) -> None:
-        self._path = folder / "record.txt"
-        self._lines: list[str] = []
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("w", buffering=1)
         self._started = now()
 
     def at(self, time_s: float) -> str:
         return f"{time_s - self._started:.3f}"
 
     def add(self, text: str, *, show: bool = False) -> None:
-        self._lines.append(f"{now() - self._started:9.3f} {text}")
+        line = f"{now() - self._started:9.3f} {text}"
+        self._file.write(line + "\n")
         if show:
-            print(self._lines[-1], flush=True)
+            print(line, flush=True)
 
-    def write(self) -> None:
-        self._path.write_text("\n".join(self._lines) + "\n")
+    def close(self) -> None:
+        self._file.close()
 
 
 class Server:
@@ -318,9 +319,11 @@
         return int(probe.getsockname()[1])
 
 
-def run_case(folder: Path, play: Callable[[Record], Coroutine[Any, Any, bool]]) -> int:
+def run_case(record_path: Path, play: Callable[[Record], Coroutine[Any, Any, bool]]) -> int:
     """Play a case; 1 if its rule was broken, 0 if it held, 2 if the case couldn't run."""
-    record = Record(folder)
+    # SystemExit lets `play` end the processes that it has started.
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(NOT_RUN))
+    record = Record(record_path)
     try:
         broken = asyncio.run(asyncio.wait_for(play(record), CASE_LIMIT_S))
     except Exception as error:
@@ -330,4 +333,4 @@
         record.add("the rule was broken" if broken else "the rule held", show=True)
         return BROKEN if broken else HELD
     finally:
-        record.write()
+        record.close()
